--- /dev/null
+++ b/effect.go
@@ -0,0 +1,40 @@
+package cleat
+
+// Send is a message that deciding code wants sent to an instance.
+type Send struct {
+	To      InstanceID
+	Message Message
+}
+
+// Start asks the entry to dispatch a request under a grant.
+type Start struct {
+	Work        Work
+	Attempt     Attempt
+	Agent       InstanceID
+	Incarnation Incarnation
+	Grant       Grant
+	Share       float64
+}
+
+// Stop asks the entry to cancel an attempt at its agent.
+type Stop struct {
+	Attempt Attempt
+	Agent   InstanceID
+}
+
+// Effects are what deciding code wants done, in order; callers carry them out
+// after releasing the table's lock.
+type Effects struct {
+	Sends    []Send
+	Starts   []Start
+	Stops    []Stop
+	Refusals []Refusal
+}
+
+// Add appends the effects of e2.
+func (e *Effects) Add(e2 Effects) {
+	e.Sends = append(e.Sends, e2.Sends...)
+	e.Starts = append(e.Starts, e2.Starts...)
+	e.Stops = append(e.Stops, e2.Stops...)
+	e.Refusals = append(e.Refusals, e2.Refusals...)
+}
--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,98 @@
+package cleat
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Limits bound what callers may ask of an entry, stored at /fleet/limits.
+type Limits struct {
+	MaxBodyBytes   int64   `json:"max_body_bytes"`
+	MaxHeaderBytes int     `json:"max_header_bytes"`
+	MaxWaiting     int     `json:"max_waiting"` // Requests waiting at one entry, all workspaces.
+	RetryRatio     float64 `json:"retry_ratio"` // Retries allowed for each first attempt.
+}
+
+// Defaults sets what the operator left out.
+func (l *Limits) Defaults() {
+	if l.MaxBodyBytes == 0 {
+		l.MaxBodyBytes = 8 << 20
+	}
+	if l.MaxHeaderBytes == 0 {
+		l.MaxHeaderBytes = 32 << 10
+	}
+	if l.MaxWaiting == 0 {
+		l.MaxWaiting = 10000
+	}
+	if l.RetryRatio == 0 {
+		l.RetryRatio = 0.1
+	}
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (l *Limits) Validate() error {
+	if l.MaxBodyBytes < 1 || l.MaxBodyBytes > 64<<20 {
+		return trace.BadParameter("Limits.Validate: max_body_bytes must be between 1 and %d", 64<<20)
+	}
+	if l.MaxHeaderBytes < 1024 || l.MaxHeaderBytes > 1<<20 {
+		return trace.BadParameter("Limits.Validate: max_header_bytes must be between 1024 and %d", 1<<20)
+	}
+	if l.MaxWaiting < 1 || l.MaxWaiting > MaxWaitingUpperBound {
+		return trace.BadParameter("Limits.Validate: max_waiting must be between 1 and %d", MaxWaitingUpperBound)
+	}
+	if l.RetryRatio < 0 || l.RetryRatio > 1 {
+		return trace.BadParameter("Limits.Validate: retry_ratio must be between 0 and 1")
+	}
+	return nil
+}
+
+// Fleet is the decoded settings at one revision, shared read-only.
+type Fleet struct {
+	revision   Revision
+	workspaces Workspaces
+	rules      Rules
+	classes    map[ClassName]Class
+	limits     Limits
+}
+
+// NewFleet assembles decoded settings.
+func NewFleet(rev Revision, ws Workspaces, rules Rules, classes map[ClassName]Class, limits Limits) *Fleet {
+	return &Fleet{revision: rev, workspaces: ws, rules: rules, classes: classes, limits: limits}
+}
+
+// Revision returns the revision of the settings.
+func (f *Fleet) Revision() Revision { return f.revision }
+
+// Workspaces returns the workspaces.
+func (f *Fleet) Workspaces() Workspaces { return f.workspaces }
+
+// Rules returns the rules.
+func (f *Fleet) Rules() Rules { return f.rules }
+
+// Limits returns the limits on callers.
+func (f *Fleet) Limits() Limits { return f.limits }
+
+// ClassByName returns the class, with defaults for one that is not configured.
+func (f *Fleet) ClassByName(name ClassName) Class {
+	c, ok := f.classes[name]
+	if !ok {
+		c = Class{Name: name}
+		c.Defaults()
+	}
+	return c
+}
+
+// FleetSource gives the settings in force at this node.
+type FleetSource interface {
+	// Fleet returns the settings in force, or false while none are confirmed.
+	Fleet() (*Fleet, bool)
+}
+
+// Claims makes durable claims on idempotency keys.
+type Claims interface {
+	// Claim asks the control quorum for the claim; ClaimNoQuorum when it can't be had by deadline.
+	Claim(c Claim, deadline time.Time) ClaimResult
+	// Record stores how a claimed request ended; it is retried until a quorum has it or the retention ends.
+	Record(o ClaimOutcome)
+}
--- /dev/null
+++ b/workspace.go
@@ -0,0 +1,114 @@
+package cleat
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+
+	"github.com/gravitational/trace"
+)
+
+// Defaults of a workspace.
+const (
+	DefaultShare         = 1.0
+	DefaultMaxWaiting    = 1000
+	MaxShare             = 1e6
+	MinShare             = 1e-3
+	MaxWaitingUpperBound = 100000
+)
+
+// Workspace is a customer of the fleet, stored at /teams/<team>/workspaces/<name>;
+// its share stands apart at /fleet/shares/<team>/<name>, which teams can't write.
+type Workspace struct {
+	ID         WorkspaceID `json:"-"`
+	Share      float64     `json:"-"`
+	KeyHashes  []string    `json:"key_hashes"`  // SHA-256 of each workspace key, in hex.
+	MaxWaiting int         `json:"max_waiting"` // Requests waiting at one entry.
+	Classes    []ClassName `json:"classes"`     // Highest precedence first; unnamed classes follow.
+}
+
+// Defaults sets what the operator left out.
+func (w *Workspace) Defaults() {
+	if w.Share == 0 {
+		w.Share = DefaultShare
+	}
+	if w.MaxWaiting == 0 {
+		w.MaxWaiting = DefaultMaxWaiting
+	}
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (w *Workspace) Validate() error {
+	if w.Share < MinShare || w.Share > MaxShare {
+		return trace.BadParameter("Workspace.Validate: share must be between %v and %v, not %v", MinShare, MaxShare, w.Share)
+	}
+	if w.MaxWaiting < 1 || w.MaxWaiting > MaxWaitingUpperBound {
+		return trace.BadParameter("Workspace.Validate: max_waiting must be between 1 and %d, not %d", MaxWaitingUpperBound, w.MaxWaiting)
+	}
+	for _, h := range w.KeyHashes {
+		if b, err := hex.DecodeString(h); err != nil || len(b) != sha256.Size {
+			return trace.BadParameter("Workspace.Validate: key_hashes: %q is not a SHA-256 in hex", h)
+		}
+	}
+	return nil
+}
+
+// Rank returns the precedence of class c inside the workspace, by its own list
+// if it names c, else after the list by the class's fleet-wide rank.
+func (w *Workspace) Rank(c Class) int {
+	for i, name := range w.Classes {
+		if name == c.Name {
+			return i
+		}
+	}
+	return len(w.Classes) + c.Rank
+}
+
+// HashKey returns the form of a workspace key that settings store.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Workspaces is the set of workspaces in force.
+type Workspaces struct {
+	byID  map[WorkspaceID]Workspace
+	byKey map[string]WorkspaceID
+}
+
+// NewWorkspaces indexes a list of workspaces by id and key hash.
+func NewWorkspaces(list []Workspace) Workspaces {
+	ws := Workspaces{byID: make(map[WorkspaceID]Workspace, len(list)), byKey: make(map[string]WorkspaceID, len(list))}
+	for _, w := range list {
+		ws.byID[w.ID] = w
+		for _, h := range w.KeyHashes {
+			ws.byKey[h] = w.ID
+		}
+	}
+	return ws
+}
+
+// ByID returns the workspace named id.
+func (ws Workspaces) ByID(id WorkspaceID) (Workspace, bool) {
+	w, ok := ws.byID[id]
+	return w, ok
+}
+
+// ByKey returns the workspace that owns a key, given in clear.
+func (ws Workspaces) ByKey(key string) (Workspace, bool) {
+	id, ok := ws.byKey[HashKey(key)]
+	if !ok {
+		return Workspace{}, false
+	}
+	return ws.ByID(id)
+}
+
+// List returns all workspaces, sorted by id.
+func (ws Workspaces) List() []Workspace {
+	list := make([]Workspace, 0, len(ws.byID))
+	for _, w := range ws.byID {
+		list = append(list, w)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
