Add links between processes over TCP

Roles need an ordered link that breaks visibly: frames of a length, a kind and a msgpack body, a hello that proves the fleet key both ways (or mutual TLS), bounded queues, pings that find silent cuts, and reconnection with a jittered backoff. Pipe gives the same link in memory for tests.

--- /dev/null
+++ b/wire/config.go
@@ -0,0 +1,96 @@
+package wire
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Version is the protocol version that both sides of a link must share.
+const Version uint16 = 1
+
+// MaxDataBytes bounds the body or answer bytes that one message should carry,
+// so that short messages never wait behind a long one.
+const MaxDataBytes = 64 << 10
+
+// PacedQueueBytes is how much SendPaced lets wait in a link's queue.
+const PacedQueueBytes = 256 << 10
+
+// Defaults of Config.
+const (
+	DefaultMaxFrameBytes  = 4 << 20
+	DefaultSendQueueBytes = 16 << 20
+	DefaultPingInterval   = time.Second
+	DefaultPeerTimeout    = 4 * time.Second
+	DefaultDialTimeout    = 2 * time.Second
+	DefaultMinBackoff     = 50 * time.Millisecond
+	DefaultMaxBackoff     = 3 * time.Second
+	DefaultFleet          = "marigoldcleat"
+	minKeyBytes           = 16
+)
+
+// Config holds what all links of a process share.
+type Config struct {
+	Fleet          string        // Name of the fleet; links to another fleet are refused.
+	Key            []byte        // Shared fleet key; may be empty only with TLS.
+	TLS            *tls.Config   // Mutual TLS; nil for plain TCP.
+	MaxFrameBytes  int           // Largest frame sent or accepted, in bytes.
+	SendQueueBytes int           // Unsent bytes at which a link counts as stuck and is closed.
+	PingInterval   time.Duration // Longest silence of a sender.
+	PeerTimeout    time.Duration // Silence after which the peer counts as lost.
+	DialTimeout    time.Duration // For connecting, and again for the hello.
+	MinBackoff     time.Duration // Before the first reconnection.
+	MaxBackoff     time.Duration // Bound of the exponential backoff.
+	Counters       *Counters     // Shared counters; Defaults makes them.
+}
+
+// Defaults sets what was left out.
+func (c *Config) Defaults() {
+	setDefault(&c.Fleet, DefaultFleet)
+	setDefault(&c.MaxFrameBytes, DefaultMaxFrameBytes)
+	setDefault(&c.SendQueueBytes, DefaultSendQueueBytes)
+	setDefault(&c.PingInterval, DefaultPingInterval)
+	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
+	setDefault(&c.DialTimeout, DefaultDialTimeout)
+	setDefault(&c.MinBackoff, DefaultMinBackoff)
+	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
+	if c.Counters == nil {
+		c.Counters = &Counters{}
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (c *Config) Validate() error {
+	if len(c.Key) == 0 && c.TLS == nil {
+		return trace.BadParameter("Config.Validate: a fleet key or TLS is needed")
+	}
+	if len(c.Key) > 0 && len(c.Key) < minKeyBytes {
+		return trace.BadParameter("Config.Validate: the fleet key must have at least %d bytes", minKeyBytes)
+	}
+	if c.TLS != nil && (c.TLS.ClientAuth != tls.RequireAndVerifyClientCert || c.TLS.ClientCAs == nil) {
+		return trace.BadParameter("Config.Validate: TLS must require and verify certificates of both sides")
+	}
+	if c.MaxFrameBytes < 2*MaxDataBytes {
+		return trace.BadParameter("Config.Validate: MaxFrameBytes must be at least %d", 2*MaxDataBytes)
+	}
+	if c.SendQueueBytes < c.MaxFrameBytes {
+		return trace.BadParameter("Config.Validate: SendQueueBytes must be at least MaxFrameBytes")
+	}
+	if c.PeerTimeout < 2*c.PingInterval {
+		return trace.BadParameter("Config.Validate: PeerTimeout must be at least twice PingInterval")
+	}
+	return nil
+}
+
+// Identity gives the process's own peer description when a link opens.
+type Identity func() cleat.Peer
--- /dev/null
+++ b/wire/doc.go
@@ -0,0 +1,10 @@
+// Package wire implements cleat.Link over TCP: frames of a four-byte length, a
+// one-byte message kind and a msgpack body, opened by an authenticated hello
+// in both directions.
+//
+// Each link has a reader and a writer goroutine. Send encodes into the link's
+// pending buffer under the link's own lock and never blocks; the writer swaps
+// that buffer out and writes it whole, so messages that are sent while a write
+// is under way share the next one. Handlers are called by the reader, so a slow
+// handler slows its own link only. No lock is held while a handler runs.
+package wire
--- /dev/null
+++ b/wire/link_test.go
@@ -0,0 +1,281 @@
+package wire_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/wire"
+)
+
+const patience = 20 * time.Second
+
+var _ = Describe("Link", func() {
+	var server, client *recorder
+
+	BeforeEach(func() {
+		server, client = &recorder{}, &recorder{}
+	})
+
+	connect := func(cfg wire.Config) (*wire.Server, *wire.Dialer) {
+		s := listen(cfg, server)
+		d := dial(cfg, entryPeer, s.Addr(), client)
+		Eventually(client.Ups, patience).Should(Equal(1))
+		Eventually(server.Ups, patience).Should(Equal(1))
+		return s, d
+	}
+
+	It("tells each side who the other is and carries messages both ways in order", func() {
+		connect(testConfig())
+		Expect(client.link.Peer()).To(Equal(agentPeer()))
+		Expect(server.link.Peer()).To(Equal(entryPeer()))
+		d := &cleat.Dispatch{
+			Incarnation: 9, Grant: 3, Attempt: cleat.Attempt{Request: "r1", Number: 1},
+			Stream: cleat.Stream{Workspace: "ring/desk", Class: "draft", Kind: cleat.KindModel, Model: "m"},
+			Header: []cleat.HeaderField{{Name: "A", Value: "b"}}, Body: []byte("body"), BodyMore: true, Timeout: time.Minute,
+		}
+		b := &cleat.Body{Attempt: d.Attempt, Offset: 4, Data: make([]byte, wire.MaxDataBytes)}
+		Expect(client.Send(d)).To(Succeed())
+		Expect(client.Send(b)).To(Succeed())
+		Eventually(server.Got, patience).Should(Equal([]cleat.Message{d, b}))
+		p := &cleat.Part{Attempt: d.Attempt, Status: 200, Data: []byte("x"), End: true, Outcome: cleat.Outcome{Kind: cleat.OutcomeDone}}
+		Expect(server.Send(p)).To(Succeed())
+		Eventually(client.Got, patience).Should(Equal([]cleat.Message{p}))
+	})
+
+	refusals := map[string]struct {
+		change func(c *wire.Config)
+		self   func() cleat.Peer
+	}{
+		"a wrong key":      {func(c *wire.Config) { c.Key = []byte("another key 1234") }, entryPeer},
+		"another fleet":    {func(c *wire.Config) { c.Fleet = "other" }, entryPeer},
+		"its own name":     {func(*wire.Config) {}, agentPeer},
+		"a nameless peer":  {func(*wire.Config) {}, func() cleat.Peer { return cleat.Peer{} }},
+		"TLS to plain TCP": {func(c *wire.Config) { c.TLS = mutualTLS() }, entryPeer},
+	}
+	for name, c := range refusals {
+		It("refuses and counts "+name, func() {
+			s := listen(testConfig(), server)
+			cfg := testConfig()
+			c.change(&cfg)
+			dial(cfg, c.self, s.Addr(), client)
+			Eventually(s.Counters().Refused, patience).Should(BeNumerically(">=", 1))
+			Expect(server.Ups()).To(BeZero())
+			Expect(client.Ups()).To(BeZero())
+		})
+	}
+
+	It("carries messages over mutual TLS without a key", func() {
+		connect(wire.Config{TLS: mutualTLS()})
+		Expect(client.Send(&cleat.Cancel{})).To(Succeed())
+		Eventually(server.Got, patience).Should(HaveLen(1))
+	})
+
+	It("refuses to send an oversized message and stays up", func() {
+		cfg := testConfig()
+		cfg.MaxFrameBytes = 4 * wire.MaxDataBytes
+		connect(cfg)
+		err := client.Send(&cleat.Body{Data: make([]byte, cfg.MaxFrameBytes)})
+		Expect(trace.IsLimitExceeded(err)).To(BeTrue())
+		Expect(client.Send(&cleat.Cancel{})).To(Succeed())
+		Eventually(server.Got, patience).Should(HaveLen(1))
+	})
+
+	It("closes a link whose peer sends a frame larger than allowed", func() {
+		cfg := testConfig()
+		cfg.MaxFrameBytes = 4 * wire.MaxDataBytes
+		s := listen(cfg, server)
+		dial(testConfig(), entryPeer, s.Addr(), client)
+		Eventually(client.Ups, patience).Should(Equal(1))
+		Expect(client.Send(&cleat.Body{Data: make([]byte, cfg.MaxFrameBytes)})).To(Succeed())
+		Eventually(server.Downs, patience).Should(Equal(1))
+		Expect(trace.IsLimitExceeded(server.downs[0])).To(BeTrue())
+	})
+
+	It("refuses garbage in place of a hello", func() {
+		s := listen(testConfig(), server)
+		conn, err := net.Dial("tcp", s.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.Counters().Refused, patience).Should(BeEquivalentTo(1))
+	})
+
+	It("closes the link to a slow reader and fails sends", func() {
+		cfg := testConfig()
+		cfg.SendQueueBytes = cfg.MaxFrameBytes + wire.DefaultMaxFrameBytes
+		server.block = make(chan struct{})
+		defer close(server.block)
+		connect(cfg)
+		big := &cleat.Body{Data: make([]byte, wire.MaxDataBytes)}
+		Eventually(func() error { return client.Send(big) }, patience, time.Microsecond).Should(MatchError(trace.IsConnectionProblem, "a connection problem"))
+		Eventually(client.Downs, patience).Should(Equal(1))
+	})
+
+	It("paces long bodies by the queue and gives up with the context", func() {
+		server.block = make(chan struct{})
+		defer close(server.block)
+		connect(testConfig())
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		big := &cleat.Body{Data: make([]byte, wire.MaxDataBytes)}
+		Eventually(func() error { return wire.SendPaced(ctx, client.link, big) }, patience, time.Microsecond).ShouldNot(Succeed())
+		Expect(client.link.(*wire.Conn).Queued()).To(BeNumerically("<=", wire.PacedQueueBytes+2*wire.MaxDataBytes))
+	})
+
+	It("notices a silent cut from both sides", func() {
+		cfg := testConfig()
+		cfg.PingInterval, cfg.PeerTimeout = 20*time.Millisecond, 200*time.Millisecond
+		s := listen(cfg, server)
+		relay := newRelay(s.Addr())
+		dial(cfg, entryPeer, relay.addr(), client)
+		Eventually(server.Ups, patience).Should(Equal(1))
+		Consistently(server.Downs, 3*cfg.PeerTimeout).Should(BeZero(), "pings keep an idle link up")
+		relay.silence()
+		Eventually(server.Downs, patience).Should(Equal(1))
+		Eventually(client.Downs, patience).Should(Equal(1))
+		Expect(s.Counters().Silent()).To(BeEquivalentTo(1))
+	})
+
+	It("connects again after a break, and no more once dropped", func() {
+		s, d := connect(testConfig())
+		server.Close()
+		Eventually(client.Downs, patience).Should(Equal(1))
+		Eventually(client.Ups, patience).Should(Equal(2))
+		d.Drop(s.Addr())
+		Eventually(client.Downs, patience).Should(Equal(2))
+		Consistently(client.Ups, 5*wire.DefaultMinBackoff).Should(Equal(2))
+	})
+
+	It("sends what is queued before it closes", func() {
+		connect(testConfig())
+		for range 100 {
+			Expect(client.Send(&cleat.Body{Data: make([]byte, 1000)})).To(Succeed())
+		}
+		client.Close()
+		Eventually(server.Downs, patience).Should(Equal(1))
+		Expect(server.Got()).To(HaveLen(100))
+	})
+
+	It("links two handlers in memory", func() {
+		atA, atB := wire.Pipe(entryPeer(), agentPeer(), client, server)
+		Expect(atA.Peer()).To(Equal(agentPeer()))
+		Expect(atB.Send(&cleat.Ask{Models: []cleat.ModelID{"m"}})).To(Succeed())
+		Eventually(client.Got, patience).Should(Equal([]cleat.Message{&cleat.Ask{Models: []cleat.ModelID{"m"}}}))
+		Expect(atA.Close()).To(Succeed())
+		Eventually(server.Downs, patience).Should(Equal(1))
+		Expect(atB.Send(&cleat.Ask{})).NotTo(Succeed())
+	})
+})
+
+var _ = Describe("Config", func() {
+	cases := map[string]struct {
+		change func(c *wire.Config)
+		named  string
+	}{
+		"no key and no TLS": {func(c *wire.Config) { c.Key = nil }, "key"},
+		"a short key":       {func(c *wire.Config) { c.Key = []byte("short") }, "key"},
+		"one-sided TLS":     {func(c *wire.Config) { c.TLS = &tls.Config{} }, "TLS"},
+		"a small frame":     {func(c *wire.Config) { c.MaxFrameBytes = 1 }, "MaxFrameBytes"},
+		"a small queue":     {func(c *wire.Config) { c.SendQueueBytes = 1 }, "SendQueueBytes"},
+		"a short timeout":   {func(c *wire.Config) { c.PeerTimeout = c.PingInterval }, "PeerTimeout"},
+	}
+	for name, c := range cases {
+		It("refuses "+name, func() {
+			cfg := testConfig()
+			cfg.Defaults()
+			Expect(cfg.Validate()).To(Succeed())
+			c.change(&cfg)
+			Expect(cfg.Validate()).To(MatchError(ContainSubstring(c.named)))
+		})
+	}
+})
+
+// relay forwards connections until it is silenced; then it swallows all bytes.
+type relay struct {
+	listener net.Listener
+	target   string
+	silent   chan struct{}
+}
+
+func newRelay(target string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	r := &relay{listener: l, target: target, silent: make(chan struct{})}
+	DeferCleanup(l.Close)
+	go r.serve()
+	return r
+}
+
+func (r *relay) addr() string { return r.listener.Addr().String() }
+
+func (r *relay) silence() { close(r.silent) }
+
+func (r *relay) serve() {
+	for {
+		a, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		b, err := net.Dial("tcp", r.target)
+		if err != nil {
+			return
+		}
+		go r.forward(a, b)
+		go r.forward(b, a)
+	}
+}
+
+func (r *relay) forward(from, to net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		select {
+		case <-r.silent:
+			continue
+		default:
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// mutualTLS makes a configuration of one self-signed certificate for both sides.
+func mutualTLS() *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "fleet"},
+		NotAfter:    time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:        true, BasicConstraintsValid: true,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	Expect(err).NotTo(HaveOccurred())
+	cert, err := x509.ParseCertificate(der)
+	Expect(err).NotTo(HaveOccurred())
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+}
