--- /dev/null
+++ b/config/path.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Kind tells what a path's document describes.
+type Kind string
+
+// The kinds of settings.
+const (
+	KindWorkspace   Kind = "workspace"
+	KindShare       Kind = "share"
+	KindRule        Kind = "rule"
+	KindClass       Kind = "class"
+	KindLimits      Kind = "limits"
+	KindPlacement   Kind = "placement"
+	KindWeightStore Kind = "weight_store"
+)
+
+// MaxNameBytes bounds each name inside a path.
+const MaxNameBytes = 63
+
+// Path is a parsed setting path.
+type Path struct {
+	kind Kind
+	team string
+	name string
+}
+
+// Kind returns what the path's document describes.
+func (p Path) Kind() Kind { return p.kind }
+
+// Team returns the team in the path, empty for fleet-wide settings.
+func (p Path) Team() string { return p.team }
+
+// Name returns the last name in the path, empty for single documents.
+func (p Path) Name() string { return p.name }
+
+// Workspace returns the workspace that a workspace or share path belongs to.
+func (p Path) Workspace() cleat.WorkspaceID {
+	return cleat.WorkspaceID(p.team + "/" + p.name)
+}
+
+// Parse returns the parsed path, or a trace.BadParameter error when no kind of
+// setting lives there.
+func Parse(path string) (Path, error) {
+	if !strings.HasPrefix(path, "/") {
+		return Path{}, trace.BadParameter("Parse: path %q must start with /", path)
+	}
+	parts := strings.Split(path[1:], "/")
+	for _, part := range parts {
+		if err := checkName(part); err != nil {
+			return Path{}, trace.Wrap(err, "Parse: path %q", path)
+		}
+	}
+	p, ok := match(parts)
+	if !ok {
+		return Path{}, trace.BadParameter("Parse: no setting lives at %q", path)
+	}
+	return p, nil
+}
+
+func match(parts []string) (Path, bool) {
+	switch {
+	case len(parts) == 4 && parts[0] == "teams" && parts[2] == "workspaces":
+		return Path{kind: KindWorkspace, team: parts[1], name: parts[3]}, true
+	case len(parts) == 4 && parts[0] == "teams" && parts[2] == "rules":
+		return Path{kind: KindRule, team: parts[1], name: parts[3]}, true
+	case len(parts) == 4 && parts[0] == "fleet" && parts[1] == "shares":
+		return Path{kind: KindShare, team: parts[2], name: parts[3]}, true
+	case len(parts) == 3 && parts[0] == "fleet":
+		return matchFleet(parts[1], parts[2])
+	case len(parts) == 2 && parts[0] == "fleet" && parts[1] == "limits":
+		return Path{kind: KindLimits}, true
+	case len(parts) == 2 && parts[0] == "fleet" && parts[1] == "weight_store":
+		return Path{kind: KindWeightStore}, true
+	}
+	return Path{}, false
+}
+
+func matchFleet(folder, name string) (Path, bool) {
+	switch folder {
+	case "rules":
+		return Path{kind: KindRule, name: name}, true
+	case "classes":
+		return Path{kind: KindClass, name: name}, true
+	case "placement":
+		return Path{kind: KindPlacement, name: name}, true
+	}
+	return Path{}, false
+}
+
+func checkName(name string) error {
+	if name == "" || len(name) > MaxNameBytes {
+		return trace.BadParameter("each name must have 1 to %d bytes", MaxNameBytes)
+	}
+	for i, c := range name {
+		if !isNameRune(c, i == 0) {
+			return trace.BadParameter("name %q may hold letters, digits and ._:- and must start with a letter or digit", name)
+		}
+	}
+	return nil
+}
+
+func isNameRune(c rune, first bool) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	}
+	return !first && strings.ContainsRune("._:-", c)
+}
+
+// Under reports whether path lies in the subtree, which is "/" or a path
+// without a trailing slash.
+func Under(path, subtree string) bool {
+	return subtree == "/" || path == subtree || strings.HasPrefix(path, subtree+"/")
+}
