Add status queries between control instances and codes of refused changes

Placement and the operators' status need what agents host, what entries hold and which revision each node runs; control instances ask each other only when an operator or the placement wants it, so that heartbeats stay small. Refused changes carry a code, so that clients need not read the problem's text.

--- a/control.go
+++ b/control.go
@@ -12,6 +12,43 @@
 	Leaving  bool              `msgpack:"l,omitempty"`
 	Models   []ModelID         `msgpack:"m,omitempty"` // Served by an agent's upstreams.
 	Status   []WorkspaceStatus `msgpack:"s,omitempty"`
+
+	Upstreams []HostedUpstream `msgpack:"u,omitempty"` // Of an agent, for placement and orders.
+	Demand    []ModelDemand    `msgpack:"d,omitempty"` // Of an entry, for placement.
+}
+
+// HostedUpstream is one of an agent's upstreams as its registration names it.
+type HostedUpstream struct {
+	Upstream UpstreamID   `msgpack:"u"`
+	Kind     UpstreamKind `msgpack:"k"`
+	Models   []ModelID    `msgpack:"m"`
+	CanLoad  bool         `msgpack:"c,omitempty"` // It takes orders to load.
+	Leaving  bool         `msgpack:"l,omitempty"`
+}
+
+// ModelDemand is how much work for a model one entry holds.
+type ModelDemand struct {
+	Model   ModelID `msgpack:"m"`
+	Waiting uint32  `msgpack:"w"`
+	Running uint32  `msgpack:"r"`
+}
+
+// StatusRead asks another control instance for the nodes registered with it.
+type StatusRead struct {
+	Call uint64 `msgpack:"n"` // Matches the report to the call.
+}
+
+// StatusReport answers a StatusRead.
+type StatusReport struct {
+	Call  uint64       `msgpack:"n"`
+	Nodes []NodeStatus `msgpack:"s"`
+}
+
+// NodeStatus is what a control instance last heard from a node.
+type NodeStatus struct {
+	Register  Register      `msgpack:"r"`
+	Suspected bool          `msgpack:"x,omitempty"`
+	Silent    time.Duration `msgpack:"t"` // Since its last heartbeat.
 }
 
 // WorkspaceStatus is what one instance knows of a workspace for operators.
--- a/kind.go
+++ b/kind.go
@@ -80,6 +80,12 @@
 // Kind returns KindPing.
 func (*Ping) Kind() MessageKind { return KindPing }
 
+// Kind returns KindStatusRead.
+func (*StatusRead) Kind() MessageKind { return KindStatusRead }
+
+// Kind returns KindStatusReport.
+func (*StatusReport) Kind() MessageKind { return KindStatusReport }
+
 // NewMessage returns an empty message of kind k for a codec to fill, or a
 // trace.BadParameter error for an unknown kind.
 func NewMessage(k MessageKind) (Message, error) {
@@ -117,4 +123,6 @@
 	KindOrderResult:  func() Message { return new(OrderResult) },
 	KindPeer:         func() Message { return new(PeerMessage) },
 	KindPing:         func() Message { return new(Ping) },
+	KindStatusRead:   func() Message { return new(StatusRead) },
+	KindStatusReport: func() Message { return new(StatusReport) },
 }
--- a/message.go
+++ b/message.go
@@ -39,6 +39,8 @@
 	KindOrderResult
 	KindPeer
 	KindPing
+	KindStatusRead
+	KindStatusReport
 )
 
 // Stream identifies requests that are interchangeable to a picker: one
--- a/setting.go
+++ b/setting.go
@@ -26,13 +26,26 @@
 	Ops       []ChangeOp `json:"ops" msgpack:"w"`
 }
 
+// ChangeCode tells programs why a change was refused.
+type ChangeCode string
+
+// The codes of refused changes.
+const (
+	ChangeConflict     ChangeCode = "conflict"         // Another change came first.
+	ChangeInvalid      ChangeCode = "invalid"          // The change can't stand as it is.
+	ChangeForbidden    ChangeCode = "forbidden"        // The token may not write there.
+	ChangeUnauthorised ChangeCode = "unauthorised"     // The token is unknown.
+	ChangeReused       ChangeCode = "operation_reused" // The operation id stands for another change.
+)
+
 // ChangeResult is the fleet's first and only answer to a change.
 type ChangeResult struct {
-	Accepted bool      `json:"accepted" msgpack:"a"`
-	Revision Revision  `json:"revision" msgpack:"r"` // Of the change, or the present one when refused.
-	Problem  string    `json:"problem,omitempty" msgpack:"p,omitempty"`
-	Conflict *Setting  `json:"conflict,omitempty" msgpack:"c,omitempty"` // The current value that beat the change.
-	At       time.Time `json:"at" msgpack:"t"`
+	Accepted bool       `json:"accepted" msgpack:"a"`
+	Revision Revision   `json:"revision" msgpack:"r"` // Of the change, or the present one when refused.
+	Code     ChangeCode `json:"code,omitempty" msgpack:"k,omitempty"`
+	Problem  string     `json:"problem,omitempty" msgpack:"p,omitempty"`
+	Conflict *Setting   `json:"conflict,omitempty" msgpack:"c,omitempty"` // The current value that beat the change.
+	At       time.Time  `json:"at" msgpack:"t"`
 }
 
 // Snapshot is the whole tree of settings at one revision.
