Add settings as replicated state, claims, membership, orders and the nodes' client

Nodes need settings that never revert, durable claims, the members and orders from control. Each decision is a table without clock, sockets or goroutines: config applies changes with expected revisions, operation ids and tokens; claim grants a key once and keeps outcomes; member spreads only changes; order places models with hysteresis under fences. node keeps the links.

--- /dev/null
+++ b/config/state_test.go
@@ -0,0 +1,102 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/config"
+)
+
+func set(s *config.State, op, token, path, value string) cleat.ChangeResult {
+	c := cleat.Change{Operation: op, Ops: []cleat.ChangeOp{{Path: path}}}
+	if value != "" {
+		c.Ops[0].Value = json.RawMessage(value)
+	}
+	return s.Apply(config.ChangeCommand{Change: c, Token: token, At: start})
+}
+
+var _ = Describe("State", func() {
+	It("moves a key between workspaces in one batch, in either order", func() {
+		s := newState()
+		key := json.RawMessage(`{"key_hashes":["` + cleat.HashKey("k") + `"]}`)
+		Expect(s.Apply(config.ChangeCommand{Token: rootHash, Change: cleat.Change{Operation: "a", Ops: []cleat.ChangeOp{
+			{Path: "/teams/ring/workspaces/a", Value: key},
+		}}}).Accepted).To(BeTrue())
+		Expect(s.Apply(config.ChangeCommand{Token: rootHash, Change: cleat.Change{Operation: "b", Ops: []cleat.ChangeOp{
+			{Path: "/teams/ring/workspaces/b", Value: key},
+			{Path: "/teams/ring/workspaces/a", Value: json.RawMessage(`{}`)},
+		}}}).Accepted).To(BeTrue())
+		Expect(set(s, "c", rootHash, "/teams/ring/workspaces/a", string(key)).Code).To(Equal(cleat.ChangeInvalid))
+	})
+
+	It("sends the whole tree to a node that is too far behind", func() {
+		s := newState()
+		for i := range config.MaxDeletions + 2 {
+			set(s, fmt.Sprint("w", i), rootHash, "/fleet/limits", `{}`)
+			set(s, fmt.Sprint("d", i), rootHash, "/fleet/limits", "")
+		}
+		Expect(s.Delta(1).Whole).To(BeTrue())
+		Expect(s.Delta(s.Revision() - 2).Whole).To(BeFalse())
+		Expect(s.Delta(s.Revision() + 1).Whole).To(BeTrue())
+	})
+
+	It("keeps first answers for the stated number of changes, then forgets", func() {
+		s := newState()
+		for i := range config.MaxOperations {
+			set(s, fmt.Sprint(i), rootHash, "/fleet/limits", `{}`)
+		}
+		Expect(set(s, "0", rootHash, "/fleet/limits", `{}`).Revision).To(Equal(cleat.Revision(1)))
+		set(s, "next", rootHash, "/fleet/limits", `{}`)
+		Expect(set(s, "0", rootHash, "/fleet/limits", `{}`).Revision).NotTo(Equal(cleat.Revision(1)))
+	})
+
+	It("shows a team its own subtree, its shares and what all have in common", func() {
+		s := newState()
+		for i, path := range []string{"/teams/lots/workspaces/desk", "/fleet/shares/lots/desk", "/fleet/shares/ring/desk", "/fleet/classes/draft", "/fleet/placement/m"} {
+			Expect(set(s, fmt.Sprint(i), rootHash, path, `{"share":1}`).Accepted).To(BeTrue())
+		}
+		Expect(set(s, "own", teamHash, "/teams/ring/workspaces/desk", `{}`).Accepted).To(BeTrue())
+		team, _ := s.Token(teamHash)
+		var paths []string
+		for _, setting := range s.List(team, "/") {
+			paths = append(paths, setting.Path)
+		}
+		Expect(paths).To(Equal([]string{"/fleet/classes/draft", "/fleet/shares/ring/desk", "/teams/ring/workspaces/desk"}))
+		Expect(s.History(team, "/", 10)).To(HaveLen(3))
+		Expect(s.Tokens(team)).To(HaveLen(1))
+	})
+
+	It("never loses the last token that may write everything", func() {
+		s := newState()
+		revoke := config.TokenCommand{Operation: "x", By: rootHash, Revoke: "root"}
+		Expect(s.ApplyToken(revoke).Code).To(Equal(cleat.ChangeInvalid))
+		widen := config.TokenCommand{Operation: "y", By: teamHash, Hash: cleat.HashKey("n"), Create: &config.Token{ID: "n", Subtree: "/", Write: true}}
+		Expect(s.ApplyToken(widen).Code).To(Equal(cleat.ChangeForbidden))
+		again := config.TokenCommand{Operation: "z", Hash: cleat.HashKey("n"), Create: &config.Token{ID: "n", Subtree: "/", Write: true}}
+		Expect(s.ApplyToken(again).Code).To(Equal(cleat.ChangeUnauthorised))
+	})
+
+	It("splits a large tree and puts it in force only whole", func() {
+		s := newState()
+		big := fmt.Sprintf(`{"path_prefix":"/%s"}`, strings.Repeat("x", 60000))
+		for i := range 40 {
+			Expect(set(s, fmt.Sprint(i), rootHash, fmt.Sprint("/fleet/rules/r", i), big).Accepted).To(BeTrue())
+		}
+		v := config.NewView()
+		m := s.Delta(s.Revision() + 1)
+		m.Confirmed = true
+		pieces := config.Split(m)
+		Expect(len(pieces)).To(BeNumerically(">", 2))
+		for _, piece := range pieces[:len(pieces)-1] {
+			Expect(v.Add(piece)).To(BeFalse())
+			Expect(v.Known()).To(BeFalse())
+		}
+		Expect(v.Add(pieces[len(pieces)-1])).To(BeTrue())
+		Expect(v.Snapshot().Settings).To(HaveLen(40))
+	})
+})
--- a/control.go
+++ b/control.go
@@ -92,6 +92,7 @@
 	To        Revision  `msgpack:"t"`
 	Whole     bool      `msgpack:"w,omitempty"`
 	Confirmed bool      `msgpack:"c,omitempty"` // Read through a quorum.
+	More      bool      `msgpack:"m,omitempty"` // Further pieces follow on the same link.
 	Written   []Setting `msgpack:"s,omitempty"`
 	Deleted   []string  `msgpack:"d,omitempty"`
 }
--- /dev/null
+++ b/member/view.go
@@ -0,0 +1,51 @@
+package member
+
+import "marigoldcleat.example/cleat"
+
+// View is a node's copy of the membership.
+type View struct {
+	members map[cleat.InstanceID]cleat.Member
+}
+
+// NewView returns a view without members.
+func NewView() *View {
+	return &View{members: make(map[cleat.InstanceID]cleat.Member)}
+}
+
+// Add takes a message in; a member's earlier life never replaces a later one.
+func (v *View) Add(m *cleat.Members) {
+	if m.Whole {
+		v.keepOnly(m.Members)
+	}
+	for _, id := range m.Gone {
+		delete(v.members, id)
+	}
+	for _, member := range m.Members {
+		old, ok := v.members[member.Peer.Instance]
+		if !ok || member.Peer.Incarnation >= old.Peer.Incarnation {
+			v.members[member.Peer.Instance] = member
+		}
+	}
+}
+
+func (v *View) keepOnly(list []cleat.Member) {
+	named := make(map[cleat.InstanceID]bool, len(list))
+	for _, m := range list {
+		named[m.Peer.Instance] = true
+	}
+	for id := range v.members {
+		if !named[id] {
+			delete(v.members, id)
+		}
+	}
+}
+
+// List returns the members, sorted by instance.
+func (v *View) List() []cleat.Member {
+	list := make([]cleat.Member, 0, len(v.members))
+	for _, m := range v.members {
+		list = append(list, m)
+	}
+	sortMembers(list)
+	return list
+}
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Defaults of Config.
+const (
+	DefaultHeartbeat      = time.Second
+	DefaultStatusInterval = 5 * time.Second
+	DefaultConfirmTimeout = 5 * time.Second
+	DefaultRetryInterval  = 500 * time.Millisecond
+	DefaultAbandonAfter   = 24 * time.Hour
+	MaxRecords            = 20000 // Outcomes that wait to be stored.
+)
+
+// Config sets up a client.
+type Config struct {
+	Controls       []string              // Link addresses of the control instances, as host:port.
+	Register       func() cleat.Register // What to say of this node; the client fills in Peer and Revision.
+	Heartbeat      time.Duration
+	StatusInterval time.Duration // Between reports of workspaces, upstreams and demand.
+	ConfirmTimeout time.Duration // Without a word confirmed by a quorum before another control instance is used.
+	RetryInterval  time.Duration // Before an unanswered claim or outcome is sent again, elsewhere.
+	AbandonAfter   time.Duration // Age at which an outcome that can't be stored is given up.
+}
+
+// Defaults sets what was left out.
+func (c *Config) Defaults() {
+	setDefault(&c.Heartbeat, DefaultHeartbeat)
+	setDefault(&c.StatusInterval, DefaultStatusInterval)
+	setDefault(&c.ConfirmTimeout, DefaultConfirmTimeout)
+	setDefault(&c.RetryInterval, DefaultRetryInterval)
+	setDefault(&c.AbandonAfter, DefaultAbandonAfter)
+	if c.Register == nil {
+		c.Register = func() cleat.Register { return cleat.Register{} }
+	}
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (c *Config) Validate() error {
+	if len(c.Controls) == 0 {
+		return trace.BadParameter("Config.Validate: at least one control instance is needed")
+	}
+	if c.Heartbeat <= 0 || c.StatusInterval <= 0 || c.ConfirmTimeout <= 0 || c.RetryInterval <= 0 || c.AbandonAfter <= 0 {
+		return trace.BadParameter("Config.Validate: all times must be positive")
+	}
+	return nil
+}
--- /dev/null
+++ b/order/gate.go
@@ -0,0 +1,67 @@
+package order
+
+import (
+	"fmt"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
+)
+
+// Verdict tells an agent what to do with an order.
+type Verdict uint8
+
+// The verdicts on an order.
+const (
+	VerdictRun      Verdict = iota + 1 // Carry it out.
+	VerdictRunning                     // A copy of one that is being carried out.
+	VerdictAnswered                    // A copy of one whose result is known.
+	VerdictRefused                     // Its fence is lower than one seen.
+)
+
+// Gate guards the upstreams of one agent: each order passes once and none
+// passes after one with a higher fence. It is not safe for concurrent use.
+type Gate struct {
+	newest map[cleat.UpstreamID]*passed
+}
+
+type passed struct {
+	order  cleat.Order
+	result *cleat.OrderResult
+}
+
+// NewGate returns a gate that has seen no order.
+func NewGate() *Gate {
+	return &Gate{newest: make(map[cleat.UpstreamID]*passed)}
+}
+
+// Pass judges an order; the result is valid unless it is to be run or runs.
+func (g *Gate) Pass(o cleat.Order) (Verdict, cleat.OrderResult) {
+	last, ok := g.newest[o.Upstream]
+	switch {
+	case ok && o.Fence < last.order.Fence:
+		return VerdictRefused, refusal(o, last.order.Fence)
+	case ok && o.Fence == last.order.Fence && o.ID != last.order.ID:
+		assert.Fail("order.fence", "orders %d and %d to %s share fence %d", last.order.ID, o.ID, o.Upstream, o.Fence)
+		return VerdictRefused, refusal(o, last.order.Fence)
+	case ok && o.Fence == last.order.Fence && last.result == nil:
+		return VerdictRunning, cleat.OrderResult{}
+	case ok && o.Fence == last.order.Fence:
+		return VerdictAnswered, *last.result
+	}
+	g.newest[o.Upstream] = &passed{order: o}
+	return VerdictRun, cleat.OrderResult{}
+}
+
+// Finish remembers the result of an order that passed, unless a newer one did since.
+func (g *Gate) Finish(o cleat.Order, r cleat.OrderResult) {
+	if last, ok := g.newest[o.Upstream]; ok && last.order.Fence == o.Fence {
+		last.result = &r
+	}
+}
+
+func refusal(o cleat.Order, seen cleat.Fence) cleat.OrderResult {
+	return cleat.OrderResult{
+		ID: o.ID, Fence: o.Fence,
+		Problem: fmt.Sprintf("fence %d is lower than or the same as %d, seen before", o.Fence, seen),
+	}
+}
--- /dev/null
+++ b/order/order_test.go
@@ -0,0 +1,163 @@
+package order_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/order"
+)
+
+func TestOrder(t *testing.T) {
+	RegisterFailHandler(Fail)
+	assert.SetHook(func(name, msg string) { panic(name + ": " + msg) })
+	RunSpecs(t, "order")
+}
+
+var start = time.Unix(1000, 0)
+
+func newTable() *order.Table {
+	var cfg order.Config
+	cfg.Defaults()
+	Expect(cfg.Validate()).To(Succeed())
+	return order.New(cfg)
+}
+
+func upstream(id, domain string, models ...cleat.ModelID) order.Upstream {
+	return order.Upstream{ID: cleat.UpstreamID(id), Domain: cleat.DomainID(domain), Models: models, CanLoad: true}
+}
+
+func view(upstreams ...order.Upstream) order.View {
+	return order.View{
+		Upstreams:      upstreams,
+		Placements:     []order.Placement{{Model: "m", Min: 1, Max: 3}},
+		LoadsPerMinute: 60, LoadBurst: 10,
+	}
+}
+
+func done(o cleat.Order) cleat.OrderResult {
+	return cleat.OrderResult{ID: o.ID, Fence: o.Fence, Done: true}
+}
+
+var _ = Describe("Gate", func() {
+	It("refuses a lower fence and runs each order once", func() {
+		g := order.NewGate()
+		newer := cleat.Order{ID: 2, Fence: 2, Upstream: "u"}
+		v, _ := g.Pass(newer)
+		Expect(v).To(Equal(order.VerdictRun))
+		v, r := g.Pass(cleat.Order{ID: 1, Fence: 1, Upstream: "u"})
+		Expect(v).To(Equal(order.VerdictRefused))
+		Expect(r.Done).To(BeFalse())
+		v, _ = g.Pass(newer)
+		Expect(v).To(Equal(order.VerdictRunning))
+		g.Finish(newer, done(newer))
+		v, r = g.Pass(newer)
+		Expect(v).To(Equal(order.VerdictAnswered))
+		Expect(r.Done).To(BeTrue())
+		v, _ = g.Pass(cleat.Order{ID: 1, Fence: 1, Upstream: "other"})
+		Expect(v).To(Equal(order.VerdictRun))
+	})
+})
+
+var _ = Describe("Table", func() {
+	It("loads the least replicas at once, spread over failure domains", func() {
+		t := newTable()
+		v := view(upstream("a", "d1", "m"), upstream("b", "d1"), upstream("c", "d2"))
+		v.Placements[0].Min = 2
+		orders := t.Decide(start, 1, v)
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0].Upstream).To(Equal(cleat.UpstreamID("c")))
+		Expect(orders[0].Fence).To(Equal(cleat.Fence(1<<32 | 1)))
+	})
+
+	It("follows demand only after it has lasted, up to the maximum", func() {
+		t := newTable()
+		v := view(upstream("a", "d1", "m"), upstream("b", "d2"), upstream("c", "d3"), upstream("d", "d4"))
+		v.Demand = []cleat.ModelDemand{{Model: "m", Waiting: 1000}}
+		Expect(t.Decide(start, 1, v)).To(BeEmpty())
+		calm := v
+		calm.Demand = nil
+		Expect(t.Decide(start.Add(order.DefaultRaiseAfter), 1, calm)).To(BeEmpty())
+		now := start.Add(2 * order.DefaultRaiseAfter)
+		Expect(t.Decide(now, 1, v)).To(BeEmpty())
+		now = now.Add(order.DefaultRaiseAfter)
+		Expect(t.Decide(now, 1, v)).To(HaveLen(1))
+		now = now.Add(time.Second)
+		Expect(t.Decide(now, 1, v)).To(HaveLen(1))
+		Expect(t.Decide(now.Add(time.Millisecond), 1, v)).To(BeEmpty())
+		Expect(t.Pending()).To(HaveLen(2))
+	})
+
+	It("takes a replica only from a model that had one too many for long", func() {
+		t := newTable()
+		v := view(upstream("a", "d1", "old"), upstream("b", "d2", "old"))
+		v.Placements = []order.Placement{{Model: "m", Min: 1, Max: 1}, {Model: "old", Min: 1, Max: 2}}
+		Expect(t.Decide(start, 1, v)).To(BeEmpty())
+		orders := t.Decide(start.Add(order.DefaultLowerAfter), 1, v)
+		Expect(orders).To(HaveLen(1))
+		v.Upstreams = []order.Upstream{upstream("b", "d2", "old")}
+		Expect(newTable().Decide(start, 1, v)).To(BeEmpty())
+	})
+
+	It("keeps one load in flight in each failure domain and to the store's rate", func() {
+		t := newTable()
+		var ups []order.Upstream
+		for i := range 20 {
+			ups = append(ups, upstream(fmt.Sprintf("u%02d", i), fmt.Sprint("d", i%2)))
+		}
+		v := view(ups...)
+		v.Placements[0].Min, v.Placements[0].Max = 10, 10
+		v.LoadsPerMinute, v.LoadBurst = 6, 5
+		loads := 0
+		for s := range 60 {
+			now := start.Add(time.Duration(s) * time.Second)
+			for _, o := range t.Decide(now, 1, v) {
+				loads++
+				t.Result(now, done(o))
+			}
+			Expect(len(t.Pending())).To(BeNumerically("<=", 2))
+		}
+		Expect(loads).To(BeNumerically("<=", 7))
+		Expect(loads).To(BeNumerically(">=", 6))
+	})
+
+	It("sends an unanswered order again, the same one, until it gives up", func() {
+		t := newTable()
+		v := view(upstream("a", "d1"))
+		first := t.Decide(start, 1, v)
+		Expect(t.Decide(start.Add(time.Second), 1, v)).To(BeEmpty())
+		Expect(t.Decide(start.Add(order.DefaultResendAfter), 1, v)).To(Equal(first))
+		late := start.Add(order.DefaultGiveUpAfter)
+		Expect(t.Decide(late, 1, v)).To(BeEmpty())
+		again := t.Decide(late.Add(order.DefaultBackoff), 1, v)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Fence).To(BeNumerically(">", first[0].Fence))
+	})
+
+	It("issues higher fences in a later term and forgets the earlier one's orders", func() {
+		t := newTable()
+		v := view(upstream("a", "d1"))
+		first := t.Decide(start, 1, v)
+		next := t.Decide(start.Add(time.Second), 2, v)
+		Expect(next).To(HaveLen(1))
+		Expect(next[0].Fence).To(BeNumerically(">", first[0].Fence))
+		t.Result(start, done(first[0]))
+		Expect(t.Pending()).To(HaveLen(1))
+	})
+
+	It("carries out what an operator wants of one upstream, once a term", func() {
+		t := newTable()
+		v := view(upstream("a", "d1", "m"))
+		v.Pins = []order.Pin{{Upstream: "a", Order: cleat.OrderChangeRole, Detail: `"prefill"`}}
+		orders := t.Decide(start, 1, v)
+		Expect(orders).To(HaveLen(1))
+		t.Result(start, done(orders[0]))
+		Expect(t.Decide(start.Add(time.Hour), 1, v)).To(BeEmpty())
+		Expect(t.Decide(start.Add(time.Hour), 2, v)).To(HaveLen(1))
+	})
+})
