Add the first working decisions: queue, slots, ledger, fair picking

Cause: entries and agents need the tables that decide before they can serve. Totals carry Credit and Known, offers carry Busy.

--- /dev/null
+++ b/ledger/book.go
@@ -0,0 +1,188 @@
+package ledger
+
+import (
+	"time"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
+)
+
+// ReportInterval is how often an agent reports its totals.
+const ReportInterval = time.Second
+
+// Account is what one agent knows of a workspace's service, all in cost units for one share.
+type Account struct {
+	workspace cleat.WorkspaceID
+	service   float64 // Charged by this agent's present incarnation.
+	credit    float64 // Given back by it.
+	others    float64 // Charged by all others, as last heard.
+	returned  float64 // Given back by all others, as last heard.
+	lift      float64
+	changed   bool
+}
+
+// Workspace returns whose account it is.
+func (a *Account) Workspace() cleat.WorkspaceID { return a.workspace }
+
+// Virtual returns the service received over the fleet, estimates of running work included.
+func (a *Account) Virtual() float64 {
+	return a.service - a.credit + a.others - a.returned + a.lift
+}
+
+// Own returns what this agent charged, less what it gave back.
+func (a *Account) Own() float64 { return a.service - a.credit }
+
+// Lift returns how far the workspace was raised on its returns from idle.
+func (a *Account) Lift() float64 { return a.lift }
+
+// Book is an agent's part of the ledger; it is not safe for concurrent use.
+type Book struct {
+	self     cleat.Peer
+	accounts map[cleat.WorkspaceID]*Account
+	order    []*Account // By creation.
+	changed  []*Account
+	touched  []*Account // Scratch for Sums.
+	seq      uint64
+	whole    bool
+	relay    cleat.InstanceID
+	life     cleat.Incarnation // The relay's.
+	heard    uint64            // Last sums of that relay.
+}
+
+// NewBook returns an empty book of an agent.
+func NewBook(self cleat.Peer) *Book {
+	return &Book{self: self, accounts: map[cleat.WorkspaceID]*Account{}}
+}
+
+// Account returns the workspace's account, made when absent.
+func (b *Book) Account(w cleat.WorkspaceID) *Account {
+	if a, ok := b.accounts[w]; ok {
+		return a
+	}
+	a := &Account{workspace: w}
+	b.accounts[w] = a
+	b.order = append(b.order, a)
+	return a
+}
+
+// Accounts returns all accounts in the order they were made; the slice is not to be changed.
+func (b *Book) Accounts() []*Account { return b.order }
+
+// Charge adds service to an account; it must not be negative.
+func (b *Book) Charge(a *Account, service float64) {
+	if !(service >= 0) {
+		assert.Fail("totals-never-fall", "charge of %v to %s", service, a.workspace)
+		return
+	}
+	a.service += service
+	b.mark(a)
+}
+
+// Credit gives back service that was charged too much; it must not be negative.
+func (b *Book) Credit(a *Account, service float64) {
+	if !(service >= 0) || a.credit+service > a.service+slack(a.service) {
+		assert.Fail("totals-never-fall", "credit of %v to %s, which was charged %v and credited %v",
+			service, a.workspace, a.service, a.credit)
+		return
+	}
+	a.credit += service
+	b.mark(a)
+}
+
+// Raise lifts the account so that its virtual service is at least v.
+func (b *Book) Raise(a *Account, v float64) {
+	short := v - a.Virtual()
+	if short <= 0 {
+		return
+	}
+	a.lift += short
+	b.mark(a)
+}
+
+// Report returns what changed since the last report, or nil.
+func (b *Book) Report() *cleat.LedgerReport {
+	if len(b.changed) == 0 && !b.whole {
+		return nil
+	}
+	b.seq++
+	m := &cleat.LedgerReport{Agent: b.self.Instance, Incarnation: b.self.Incarnation, Seq: b.seq, Whole: b.whole}
+	list := b.changed
+	if b.whole {
+		list = b.order
+	}
+	m.Totals = make([]cleat.WorkspaceTotal, 0, len(list))
+	for _, a := range list {
+		m.Totals = append(m.Totals, a.total(b.whole))
+	}
+	for _, a := range b.changed {
+		a.changed = false
+	}
+	b.changed = b.changed[:0]
+	b.whole = false
+	return m
+}
+
+// Sums takes in the fleet's sums and returns the accounts that they moved; the
+// slice is valid until the next call.
+func (b *Book) Sums(m *cleat.LedgerSums) []*Account {
+	b.touched = b.touched[:0]
+	if !b.fresh(m) {
+		return nil
+	}
+	for i := range m.Totals {
+		a := b.Account(m.Totals[i].Workspace)
+		if a.merge(&m.Totals[i]) {
+			b.touched = append(b.touched, a)
+		}
+	}
+	return b.touched
+}
+
+// fresh tells whether the sums are newer than those heard of their relay, and
+// decides whether the relay needs the whole of the totals.
+func (b *Book) fresh(m *cleat.LedgerSums) bool {
+	switch {
+	case m.Relay != b.relay || m.Incarnation > b.life:
+		b.relay, b.life = m.Relay, m.Incarnation
+		b.whole = true
+	case m.Incarnation < b.life || m.Seq <= b.heard:
+		return false
+	case m.Seq > b.heard+1 && !m.Whole:
+		b.whole = true
+	}
+	if m.Seen == 0 {
+		b.whole = true
+	}
+	b.heard = m.Seq
+	return true
+}
+
+func (b *Book) mark(a *Account) {
+	if !a.changed {
+		a.changed = true
+		b.changed = append(b.changed, a)
+	}
+}
+
+func (a *Account) total(whole bool) cleat.WorkspaceTotal {
+	t := cleat.WorkspaceTotal{Workspace: a.workspace, Service: a.service, Credit: a.credit, Lift: a.lift}
+	if whole {
+		t.Known = a.others - a.returned
+	}
+	return t
+}
+
+// merge takes each counter by maximum: what relays know is a part of the truth,
+// so the largest is the nearest to it.
+func (a *Account) merge(t *cleat.WorkspaceTotal) bool {
+	before := a.Virtual()
+	a.others = max(a.others, t.Service)
+	a.returned = max(a.returned, t.Credit)
+	a.lift = max(a.lift, t.Lift)
+	return a.Virtual() != before
+}
+
+// slack allows for the rounding of long sums.
+func slack(total float64) float64 {
+	return 1e-6 + total*1e-9
+}
--- /dev/null
+++ b/ledger/relay.go
@@ -0,0 +1,343 @@
+package ledger
+
+import (
+	"math"
+	"time"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Bounds of a relay's state and messages.
+const (
+	MaxSumsTotals = 96 // Workspaces in one LedgerSums; the rest follow in the next.
+	AdoptWindow   = 10 * time.Second
+	FoldAfter     = 10 * time.Minute // After a newer incarnation was heard.
+	SilentBound   = 24 * time.Hour   // After which a silent agent's totals are folded.
+)
+
+// cell is one agent's total for one workspace.
+type cell struct {
+	service, credit float64
+}
+
+// row is what one incarnation of an agent reported.
+type row struct {
+	agent       cleat.InstanceID
+	incarnation cleat.Incarnation
+	seq         uint64
+	gap         bool // A report was missed; the whole is needed.
+	cells       []cell
+	heard       time.Time
+	superseded  bool
+}
+
+// feed is what one agent was told.
+type feed struct {
+	seq    uint64
+	sent   []cell
+	lifts  []float64
+	next   int // Workspace to go on with.
+	ackDue bool
+}
+
+// Relay merges agents' totals at a control instance; all of it is soft state.
+// It is not safe for concurrent use.
+type Relay struct {
+	self    cleat.Peer
+	started time.Time
+	index   map[cleat.WorkspaceID]int
+	names   []cleat.WorkspaceID
+	sums    []cell    // Over rows and base.
+	base    []float64 // Service known to exist but held in no row.
+	lifts   []float64
+	rows    map[cleat.InstanceID][]*row // Newest incarnation last.
+	order   []cleat.InstanceID          // By first report.
+	folded  map[cleat.InstanceID]cleat.Incarnation
+	feeds   map[cleat.InstanceID]*feed
+}
+
+// NewRelay returns an empty relay.
+func NewRelay(self cleat.Peer) *Relay {
+	return &Relay{
+		self:   self,
+		index:  map[cleat.WorkspaceID]int{},
+		rows:   map[cleat.InstanceID][]*row{},
+		folded: map[cleat.InstanceID]cleat.Incarnation{},
+		feeds:  map[cleat.InstanceID]*feed{},
+	}
+}
+
+// Report merges an agent's report, which may be doubled, late or out of order,
+// and returns whether it was news that other relays should hear.
+func (r *Relay) Report(now time.Time, m *cleat.LedgerReport) bool {
+	if r.started.IsZero() {
+		r.started = now
+	}
+	if m.Incarnation <= r.folded[m.Agent] {
+		return false
+	}
+	w := r.row(m)
+	w.heard = now
+	if f, ok := r.feeds[m.Agent]; ok {
+		f.ackDue = f.ackDue || w.gap
+		if m.Whole {
+			f.reset()
+		}
+	}
+	if m.Seq <= w.seq && !(m.Whole && w.gap) {
+		return false
+	}
+	switch {
+	case m.Whole:
+		w.gap = false
+	case m.Seq != w.seq+1:
+		w.gap = true
+	}
+	w.seq = max(w.seq, m.Seq)
+	for i := range m.Totals {
+		r.merge(w, &m.Totals[i])
+	}
+	if m.Whole && now.Sub(r.started) <= AdoptWindow {
+		r.adopt(w, m.Totals)
+	}
+	return true
+}
+
+// Sums returns what changed since the last sums to an agent, without the
+// agent's own present total, or nil when nothing did.
+func (r *Relay) Sums(_ time.Time, agent cleat.InstanceID) *cleat.LedgerSums {
+	f, ok := r.feeds[agent]
+	if !ok {
+		f = &feed{ackDue: true}
+		r.feeds[agent] = f
+	}
+	f.grow(len(r.names))
+	own := r.newest(agent)
+	if own != nil && own.gap {
+		f.ackDue = true
+	}
+	totals := r.changed(f, own)
+	if len(totals) == 0 && !f.ackDue {
+		return nil
+	}
+	f.seq++
+	f.ackDue = false
+	m := &cleat.LedgerSums{
+		Relay: r.self.Instance, Incarnation: r.self.Incarnation,
+		Seq: f.seq, Whole: f.seq == 1, Totals: totals,
+	}
+	if own != nil && !own.gap {
+		m.Seen = own.seq
+	}
+	return m
+}
+
+// Whole returns all that the relay holds, as reports that another relay can
+// merge; it is sent when a link between relays comes up.
+func (r *Relay) Whole() []*cleat.LedgerReport {
+	var list []*cleat.LedgerReport
+	for _, id := range r.order {
+		for _, w := range r.rows[id] {
+			list = append(list, r.report(w))
+		}
+	}
+	return list
+}
+
+// Unlink forgets what an agent was told, because its link broke.
+func (r *Relay) Unlink(agent cleat.InstanceID) {
+	delete(r.feeds, agent)
+}
+
+// Forget folds the totals of ended incarnations into the sums' base and drops
+// what is held of them one by one.
+func (r *Relay) Forget(now time.Time) {
+	kept := r.order[:0]
+	for _, id := range r.order {
+		rows := r.rows[id][:0]
+		for _, w := range r.rows[id] {
+			if !w.stale(now) {
+				rows = append(rows, w)
+				continue
+			}
+			r.fold(w)
+		}
+		if len(rows) == 0 {
+			delete(r.rows, id)
+			delete(r.feeds, id)
+			continue
+		}
+		r.rows[id] = rows
+		kept = append(kept, id)
+	}
+	r.order = kept
+}
+
+// Total returns the fleet's service of a workspace, as known here.
+func (r *Relay) Total(w cleat.WorkspaceID) cleat.WorkspaceTotal {
+	t := cleat.WorkspaceTotal{Workspace: w}
+	if i, ok := r.index[w]; ok {
+		t.Service, t.Credit, t.Lift = r.sums[i].service+max(0, r.base[i]), r.sums[i].credit, r.lifts[i]
+	}
+	return t
+}
+
+// Len returns the number of totals held.
+func (r *Relay) Len() int {
+	n := 0
+	for _, rows := range r.rows {
+		n += len(rows)
+	}
+	return n * len(r.names)
+}
+
+func (r *Relay) row(m *cleat.LedgerReport) *row {
+	rows := r.rows[m.Agent]
+	for _, w := range rows {
+		if w.incarnation == m.Incarnation {
+			return w
+		}
+	}
+	w := &row{agent: m.Agent, incarnation: m.Incarnation}
+	if len(rows) == 0 {
+		r.order = append(r.order, m.Agent)
+	}
+	at := len(rows)
+	for at > 0 && rows[at-1].incarnation > m.Incarnation {
+		at--
+	}
+	rows = append(rows, nil)
+	copy(rows[at+1:], rows[at:])
+	rows[at] = w
+	for _, older := range rows[:len(rows)-1] {
+		older.superseded = true
+	}
+	r.rows[m.Agent] = rows
+	return w
+}
+
+func (r *Relay) newest(agent cleat.InstanceID) *row {
+	rows := r.rows[agent]
+	if len(rows) == 0 {
+		return nil
+	}
+	return rows[len(rows)-1]
+}
+
+// merge raises one cell; a cell heard for the first time, of an agent older
+// than this relay, leaves the base, which already counted it.
+func (r *Relay) merge(w *row, t *cleat.WorkspaceTotal) {
+	i := r.place(t.Workspace)
+	for len(w.cells) <= i {
+		w.cells = append(w.cells, cell{})
+	}
+	c := &w.cells[i]
+	if *c == (cell{}) && w.incarnation < r.self.Incarnation {
+		r.base[i] -= min(max(0, r.base[i]), t.Service-t.Credit)
+	}
+	if t.Service > c.service {
+		r.sums[i].service += t.Service - c.service
+		c.service = t.Service
+	}
+	if t.Credit > c.credit {
+		r.sums[i].credit += t.Credit - c.credit
+		c.credit = t.Credit
+	}
+	r.lifts[i] = max(r.lifts[i], t.Lift)
+}
+
+// adopt takes over what an agent knows of service that no row here holds: the
+// totals of agents that are gone, or have not yet reported to a new relay.
+func (r *Relay) adopt(w *row, totals []cleat.WorkspaceTotal) {
+	for i := range totals {
+		t := &totals[i]
+		p := r.place(t.Workspace)
+		known := t.Known + w.cells[p].service - w.cells[p].credit
+		held := r.sums[p].service - r.sums[p].credit + max(0, r.base[p])
+		if known > held {
+			r.base[p] = max(0, r.base[p]) + known - held
+		}
+	}
+}
+
+func (r *Relay) place(w cleat.WorkspaceID) int {
+	if i, ok := r.index[w]; ok {
+		return i
+	}
+	i := len(r.names)
+	r.index[w] = i
+	r.names = append(r.names, w)
+	r.sums = append(r.sums, cell{})
+	r.base = append(r.base, 0)
+	r.lifts = append(r.lifts, 0)
+	return i
+}
+
+// changed lists at most MaxSumsTotals workspaces that moved, going round.
+func (r *Relay) changed(f *feed, own *row) []cleat.WorkspaceTotal {
+	var totals []cleat.WorkspaceTotal
+	n := len(r.names)
+	for step := 0; step < n && len(totals) < MaxSumsTotals; step++ {
+		i := f.next % n
+		f.next = i + 1
+		c := r.others(i, own)
+		if near(c, f.sent[i]) && r.lifts[i] == f.lifts[i] {
+			continue
+		}
+		f.sent[i], f.lifts[i] = c, r.lifts[i]
+		totals = append(totals, cleat.WorkspaceTotal{
+			Workspace: r.names[i], Service: c.service, Credit: c.credit, Lift: r.lifts[i],
+		})
+	}
+	return totals
+}
+
+func (r *Relay) others(i int, own *row) cell {
+	c := cell{service: r.sums[i].service + r.base[i], credit: r.sums[i].credit}
+	if own != nil && i < len(own.cells) {
+		c.service -= own.cells[i].service
+		c.credit -= own.cells[i].credit
+	}
+	return c
+}
+
+// near tells whether two cells differ by no more than the rounding of sums.
+func near(a, b cell) bool {
+	return math.Abs(a.service-b.service) <= slack(a.service) && math.Abs(a.credit-b.credit) <= slack(a.credit)
+}
+
+func (r *Relay) report(w *row) *cleat.LedgerReport {
+	m := &cleat.LedgerReport{Agent: w.agent, Incarnation: w.incarnation, Seq: w.seq, Whole: true}
+	for i, c := range w.cells {
+		if c == (cell{}) && r.lifts[i] == 0 {
+			continue
+		}
+		m.Totals = append(m.Totals, cleat.WorkspaceTotal{
+			Workspace: r.names[i], Service: c.service, Credit: c.credit, Lift: r.lifts[i],
+		})
+	}
+	return m
+}
+
+// fold drops a row and leaves what it counted in the sums.
+func (r *Relay) fold(w *row) {
+	r.folded[w.agent] = max(r.folded[w.agent], w.incarnation)
+}
+
+func (w *row) stale(now time.Time) bool {
+	quiet := now.Sub(w.heard)
+	return (w.superseded && quiet > FoldAfter) || quiet > SilentBound
+}
+
+func (f *feed) grow(n int) {
+	for len(f.sent) < n {
+		f.sent = append(f.sent, cell{})
+		f.lifts = append(f.lifts, 0)
+	}
+}
+
+func (f *feed) reset() {
+	clear(f.sent)
+	clear(f.lifts)
+	f.ackDue = true
+}
--- a/message.go
+++ b/message.go
@@ -60,6 +60,7 @@
 	Rank     int           `msgpack:"r"`           // Precedence of the class; lower goes first.
 	Share    float64       `msgpack:"f"`           // The workspace's share of capacity.
 	Age      time.Duration `msgpack:"a"`           // How long the first request has waited.
+	Busy     time.Duration `msgpack:"b,omitempty"` // How long the workspace has had work waiting at the entry without a pause.
 	Affinity uint8         `msgpack:"p,omitempty"` // 0–255: how much of its prefix the entry believes is cached at the agent.
 }
 
@@ -190,8 +191,10 @@
 // WorkspaceTotal is service received by a workspace, in cost units for one share.
 type WorkspaceTotal struct {
 	Workspace WorkspaceID `msgpack:"w"`
-	Service   float64     `msgpack:"s"` // Cumulative, divided by the share at the time.
-	Lift      float64     `msgpack:"l"` // Raised on return from idle; merged by maximum.
+	Service   float64     `msgpack:"s"`           // Charged so far, divided by the share at the time; never falls.
+	Credit    float64     `msgpack:"c,omitempty"` // Of that, given back because an estimate was too high; never falls.
+	Lift      float64     `msgpack:"l"`           // Raised on return from idle; merged by maximum.
+	Known     float64     `msgpack:"k,omitempty"` // In whole reports: what the agent knows of all others' service.
 }
 
 // LedgerReport carries an agent's cumulative totals for workspaces that changed.
@@ -203,7 +206,9 @@
 	Totals      []WorkspaceTotal `msgpack:"t"`
 }
 
-// LedgerSums carries the fleet's totals back; Seen is the recipient's last report counted in them.
+// LedgerSums carries the fleet's totals back, without what the recipient's
+// present incarnation reported itself. Seen is the recipient's last report that
+// the relay holds, or zero when the relay needs the whole of it.
 type LedgerSums struct {
 	Relay       InstanceID       `msgpack:"r"`
 	Incarnation Incarnation      `msgpack:"i"` // The relay's.
--- /dev/null
+++ b/queue/config.go
@@ -0,0 +1,84 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Config sets an entry's pace and bounds.
+type Config struct {
+	Spread          int           // Agents that a stream is first offered to.
+	MaxSpread       int           // Agents that it is offered to at most.
+	WidenAfter      time.Duration // Waiting time after which twice as many agents are told.
+	OfferInterval   time.Duration // Between changed offers to one agent, but for the first of a stream.
+	ResumeGrace     time.Duration // That a lost agent has to come back with its attempts.
+	UpstreamGrace   time.Duration // That a model may be without upstreams before its requests are refused.
+	RetryDelay      time.Duration // Before the first retry; doubled for each next.
+	MaxRetryDelay   time.Duration
+	MaxAttempts     int
+	TrustRefusals   time.Duration // Age of an attempt up to which an agent's word that it did not run is believed.
+	PaceWindow      time.Duration // Over which the pace of dispatches is seen.
+	PaceSamples     float64       // Dispatches in it before a wait is foretold.
+	LateFactor      float64       // A request is refused when its foretold wait is this much over its time left.
+	ReorderWindow   int           // Waiting requests among which a grant may choose by cached prefix.
+	MaxSkips        int           // How often the first may be passed over for that.
+	MaxPrefixes     int           // Cached digests known of one upstream.
+	MaxRetryAfter   time.Duration
+	DefaultMaxQueue int // Waiting requests of a workspace that the settings don't know.
+}
+
+// Defaults sets what is left out.
+func (c *Config) Defaults() {
+	setDuration(&c.WidenAfter, 100*time.Millisecond)
+	setDuration(&c.OfferInterval, 200*time.Millisecond)
+	setDuration(&c.ResumeGrace, 5*time.Second)
+	setDuration(&c.UpstreamGrace, 5*time.Second)
+	setDuration(&c.RetryDelay, 50*time.Millisecond)
+	setDuration(&c.MaxRetryDelay, 5*time.Second)
+	setDuration(&c.TrustRefusals, 10*time.Minute)
+	setDuration(&c.PaceWindow, 10*time.Second)
+	setDuration(&c.MaxRetryAfter, time.Minute)
+	setInt(&c.Spread, 3)
+	setInt(&c.MaxSpread, 24)
+	setInt(&c.MaxAttempts, 4)
+	setInt(&c.ReorderWindow, 8)
+	setInt(&c.MaxSkips, 8)
+	setInt(&c.MaxPrefixes, 4096)
+	setInt(&c.DefaultMaxQueue, 1000)
+	if c.PaceSamples == 0 {
+		c.PaceSamples = 5
+	}
+	if c.LateFactor == 0 {
+		c.LateFactor = 1.5
+	}
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (c *Config) Validate() error {
+	if c.Spread < 1 || c.MaxSpread < c.Spread {
+		return trace.BadParameter("Config.Validate: Spread must be between 1 and MaxSpread")
+	}
+	if c.OfferInterval <= 0 || c.WidenAfter <= 0 || c.PaceWindow <= 0 {
+		return trace.BadParameter("Config.Validate: OfferInterval, WidenAfter and PaceWindow must be positive")
+	}
+	if c.MaxAttempts < 1 || c.ReorderWindow < 1 {
+		return trace.BadParameter("Config.Validate: MaxAttempts and ReorderWindow must be positive")
+	}
+	if c.LateFactor < 1 {
+		return trace.BadParameter("Config.Validate: LateFactor must be at least 1, not %v", c.LateFactor)
+	}
+	return nil
+}
+
+func setDuration(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+func setInt(n *int, v int) {
+	if *n == 0 {
+		*n = v
+	}
+}
--- /dev/null
+++ b/queue/fleet_test.go
@@ -0,0 +1,354 @@
+package queue_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/ledger"
+	"marigoldcleat.example/cleat/queue"
+	"marigoldcleat.example/cleat/slots"
+)
+
+// event is something that happens at a virtual time.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// fleet wires real tables together on virtual time, with links that may fail.
+type fleet struct {
+	now     time.Time
+	seq     int
+	queue   events
+	rnd     *rand.Rand
+	entries map[cleat.InstanceID]*entryNode
+	agents  map[cleat.InstanceID]*agentNode
+	relays  []*relayNode
+	cut     map[[2]cleat.InstanceID]bool
+	lose    float64 // Of messages on links that may lose.
+	double  float64
+	slots   uint32
+	life    time.Duration // Of a request at its upstream, by default.
+	fail    func(u cleat.UpstreamID) bool
+
+	refusals map[cleat.RequestID][]cleat.Refusal
+	done     map[cleat.RequestID]int
+	ran      map[cleat.RequestID]int
+	served   map[cleat.WorkspaceID]float64
+	busy     time.Duration
+}
+
+type entryNode struct {
+	peer  cleat.Peer
+	table *queue.Table
+}
+
+type agentNode struct {
+	peer   cleat.Peer
+	table  *slots.Table
+	relay  int
+	cancel map[cleat.Attempt]bool
+}
+
+type relayNode struct {
+	peer  cleat.Peer
+	relay *ledger.Relay
+}
+
+func newFleet(seed int64, entries, agents, relays int) *fleet {
+	f := &fleet{
+		now: time.Unix(1e9, 0), rnd: rand.New(rand.NewSource(seed)),
+		entries: map[cleat.InstanceID]*entryNode{}, agents: map[cleat.InstanceID]*agentNode{},
+		cut: map[[2]cleat.InstanceID]bool{}, slots: 4, life: time.Second,
+		refusals: map[cleat.RequestID][]cleat.Refusal{}, done: map[cleat.RequestID]int{},
+		ran: map[cleat.RequestID]int{}, served: map[cleat.WorkspaceID]float64{},
+	}
+	for i := range relays {
+		p := cleat.Peer{Instance: cleat.InstanceID(fmt.Sprintf("ctrl-%d", i)), Incarnation: f.incarnation(), Role: cleat.RoleControl}
+		f.relays = append(f.relays, &relayNode{peer: p, relay: ledger.NewRelay(p)})
+	}
+	for i := range agents {
+		f.startAgent(cleat.InstanceID(fmt.Sprintf("agent-%d", i)), i)
+	}
+	for i := range entries {
+		f.startEntry(cleat.InstanceID(fmt.Sprintf("entry-%d", i)))
+	}
+	f.every(10*time.Millisecond, f.tick)
+	f.every(ledger.ReportInterval, f.report)
+	return f
+}
+
+func (f *fleet) incarnation() cleat.Incarnation {
+	f.seq++
+	return cleat.Incarnation(f.now.UnixNano()) + cleat.Incarnation(f.seq)
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.queue, event{at: f.now.Add(d), seq: f.seq, do: do})
+}
+
+func (f *fleet) every(d time.Duration, do func()) {
+	f.after(d, func() {
+		do()
+		f.every(d, do)
+	})
+}
+
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		ev := heap.Pop(&f.queue).(event)
+		f.now = ev.at
+		ev.do()
+	}
+	f.now = end
+}
+
+func (f *fleet) startAgent(id cleat.InstanceID, n int) {
+	var cfg slots.Config
+	cfg.Defaults()
+	p := cleat.Peer{Instance: id, Incarnation: f.incarnation(), Role: cleat.RoleAgent}
+	a := &agentNode{peer: p, table: slots.New(cfg, p, rand.New(rand.NewSource(f.rnd.Int63()))), cancel: map[cleat.Attempt]bool{}}
+	if len(f.relays) > 0 {
+		a.relay = n % len(f.relays)
+	}
+	f.agents[id] = a
+	f.announce(a, false)
+	for _, id := range sortedEntries(f) {
+		f.link(f.entries[id], a)
+	}
+}
+
+func (f *fleet) startEntry(id cleat.InstanceID) {
+	var cfg queue.Config
+	cfg.Defaults()
+	p := cleat.Peer{Instance: id, Incarnation: f.incarnation(), Role: cleat.RoleEntry}
+	e := &entryNode{peer: p, table: queue.New(cfg, p, rand.New(rand.NewSource(f.rnd.Int63())))}
+	f.entries[id] = e
+	for _, id := range sortedAgents(f) {
+		f.link(e, f.agents[id])
+	}
+}
+
+func (f *fleet) link(e *entryNode, a *agentNode) {
+	f.doAgent(a, a.table.EntryUp(f.now, e.peer))
+	f.doEntry(e, e.table.AgentUp(f.now, a.peer))
+}
+
+func (f *fleet) unlink(e *entryNode, a *agentNode) {
+	f.doAgent(a, a.table.EntryDown(f.now, e.peer.Instance))
+	f.doEntry(e, e.table.AgentDown(f.now, a.peer.Instance))
+}
+
+func (f *fleet) announce(a *agentNode, leaving bool) {
+	f.doAgent(a, a.table.Announce(f.now, cleat.Announcement{
+		Upstream: cleat.UpstreamID("up-" + a.peer.Instance), Kind: cleat.KindModel,
+		Models: []cleat.ModelID{"m"}, Slots: f.slots, Leaving: leaving,
+	}))
+}
+
+func (f *fleet) tick() {
+	for _, id := range sortedAgents(f) {
+		a := f.agents[id]
+		f.announce(a, false)
+		f.doAgent(a, a.table.Tick(f.now))
+	}
+	for _, id := range sortedEntries(f) {
+		e := f.entries[id]
+		f.doEntry(e, e.table.Tick(f.now))
+	}
+}
+
+func (f *fleet) report() {
+	if len(f.relays) == 0 {
+		return
+	}
+	for _, id := range sortedAgents(f) {
+		a := f.agents[id]
+		r := f.relays[a.relay]
+		m := a.table.Report(f.now)
+		if f.cut[[2]cleat.InstanceID{id, r.peer.Instance}] {
+			continue
+		}
+		if m != nil && r.relay.Report(f.now, m) {
+			f.forward(r, m)
+		}
+		if s := r.relay.Sums(f.now, id); s != nil {
+			f.after(time.Millisecond, func() { f.doAgent(a, a.table.Sums(f.now, s)) })
+		}
+	}
+}
+
+func (f *fleet) forward(from *relayNode, m *cleat.LedgerReport) {
+	for _, r := range f.relays {
+		if r != from && !f.cut[[2]cleat.InstanceID{from.peer.Instance, r.peer.Instance}] {
+			f.after(time.Millisecond, func() { r.relay.Report(f.now, m) })
+		}
+	}
+}
+
+// send delivers a message between an entry and an agent, if their link lets it.
+func (f *fleet) send(from, to cleat.InstanceID, m cleat.Message) {
+	if f.cut[[2]cleat.InstanceID{from, to}] {
+		return
+	}
+	if f.rnd.Float64() < f.lose {
+		return
+	}
+	n := 1
+	if f.rnd.Float64() < f.double {
+		n = 2
+	}
+	for range n {
+		f.after(time.Millisecond, func() { f.deliver(from, to, m) })
+	}
+}
+
+func (f *fleet) deliver(from, to cleat.InstanceID, m cleat.Message) {
+	if a, ok := f.agents[to]; ok {
+		f.toAgent(a, from, m)
+		return
+	}
+	e, ok := f.entries[to]
+	if !ok {
+		return
+	}
+	switch m := m.(type) {
+	case *cleat.AgentState:
+		f.doEntry(e, e.table.AgentState(f.now, from, m))
+	case *cleat.Ask:
+		f.doEntry(e, e.table.Ask(f.now, from, m))
+	case *cleat.Grants:
+		f.doEntry(e, e.table.Grants(f.now, from, m))
+	case *cleat.Refused:
+		f.doEntry(e, e.table.Refused(f.now, from, m))
+	case *cleat.Part:
+		if m.Outcome.Kind == cleat.OutcomeDone {
+			f.done[m.Attempt.Request]++
+		}
+		f.doEntry(e, e.table.Finished(f.now, m.Attempt, m.Outcome))
+	}
+}
+
+func (f *fleet) toAgent(a *agentNode, from cleat.InstanceID, m cleat.Message) {
+	switch m := m.(type) {
+	case *cleat.Offers:
+		f.doAgent(a, a.table.Offers(f.now, from, m))
+	case *cleat.Decline:
+		f.doAgent(a, a.table.Decline(f.now, from, m))
+	case *cleat.Dispatch:
+		u, refused := a.table.Dispatch(f.now, from, m)
+		if refused != nil {
+			f.send(a.peer.Instance, from, refused)
+			return
+		}
+		f.serve(a, from, u, m)
+	}
+}
+
+// serve runs a dispatched request for as long as its estimate header says.
+func (f *fleet) serve(a *agentNode, from cleat.InstanceID, u cleat.UpstreamID, m *cleat.Dispatch) {
+	f.ran[m.Attempt.Request]++
+	tokens := uint64(m.Timeout / time.Hour)
+	life := time.Duration(tokens) * 10 * time.Millisecond
+	for part := 1; part <= 4; part++ {
+		used := cleat.Usage{OutputTokens: tokens * uint64(part) / 4}
+		f.after(life*time.Duration(part)/4-time.Microsecond, func() {
+			f.busy += life / 4
+			a.table.Progress(f.now, m.Attempt, used)
+		})
+	}
+	f.after(life, func() {
+		if f.agents[a.peer.Instance] != a {
+			return
+		}
+		o := cleat.Outcome{Kind: cleat.OutcomeDone, Usage: cleat.Usage{OutputTokens: tokens}}
+		if f.fail != nil && f.fail(u) {
+			o.Kind = cleat.OutcomeFailed
+		}
+		f.served[m.Stream.Workspace] += float64(tokens)
+		f.doAgent(a, a.table.Finish(f.now, m.Attempt, o))
+		f.send(a.peer.Instance, from, &cleat.Part{Attempt: m.Attempt, End: true, Outcome: o})
+	})
+}
+
+func (f *fleet) doAgent(a *agentNode, e cleat.Effects) {
+	for _, s := range e.Sends {
+		f.send(a.peer.Instance, s.To, s.Message)
+	}
+}
+
+func (f *fleet) doEntry(n *entryNode, e cleat.Effects) {
+	for _, s := range e.Sends {
+		f.send(n.peer.Instance, s.To, s.Message)
+	}
+	for _, s := range e.Starts {
+		f.send(n.peer.Instance, s.Agent, &cleat.Dispatch{
+			Incarnation: s.Incarnation, Grant: s.Grant.ID, Attempt: s.Attempt, Stream: s.Grant.Stream,
+			Estimate: s.Work.Estimate, Share: s.Share, Repeatable: s.Work.Repeatable,
+			Timeout: time.Duration(tokensOf(s.Work.ID)) * time.Hour,
+		})
+	}
+	for _, r := range e.Refusals {
+		f.refusals[r.Request] = append(f.refusals[r.Request], r)
+	}
+}
+
+// tokensOf reads the true cost from a request's name.
+func tokensOf(id cleat.RequestID) int {
+	var n, tokens int
+	var w string
+	if _, err := fmt.Sscanf(string(id), "%d/%d/%s", &n, &tokens, &w); err != nil {
+		panic(err)
+	}
+	return tokens
+}
+
+var lastRequest int
+
+// submit gives an entry a request of true cost tokens and returns its name.
+func (f *fleet) submit(e cleat.InstanceID, w cleat.WorkspaceID, tokens int, change func(*cleat.Work)) cleat.RequestID {
+	lastRequest++
+	work := cleat.Work{
+		ID:        cleat.RequestID(fmt.Sprintf("%d/%d/%s", lastRequest, tokens, w)),
+		Workspace: w, Class: "c", Kind: cleat.KindModel, Model: "m",
+		Received: f.now, Deadline: f.now.Add(10 * time.Minute), Repeatable: true,
+	}
+	if change != nil {
+		change(&work)
+	}
+	n := f.entries[e]
+	f.doEntry(n, n.table.Submit(f.now, work))
+	return work.ID
+}
+
+func sortedAgents(f *fleet) []cleat.InstanceID {
+	return sortedKeys(f.agents)
+}
+
+func sortedEntries(f *fleet) []cleat.InstanceID {
+	return sortedKeys(f.entries)
+}
--- /dev/null
+++ b/queue/offer.go
@@ -0,0 +1,214 @@
+package queue
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/route"
+)
+
+// telling is what one agent was told of one stream.
+type telling struct {
+	agent     *agent
+	stream    *stream
+	left      int // What the agent believes is still waiting.
+	dirty     bool
+	asked     bool      // The agent asked for work.
+	heldUntil time.Time // After it granted a slot that nothing could use.
+}
+
+func (a *agent) telling(s *stream) *telling {
+	if o, ok := a.tellings[s]; ok {
+		return o
+	}
+	o := &telling{agent: a, stream: s}
+	a.tellings[s] = o
+	a.tellOrder = append(a.tellOrder, o)
+	at := sort.Search(len(s.tellings), func(i int) bool { return s.tellings[i].agent.id > a.id })
+	s.tellings = append(s.tellings, nil)
+	copy(s.tellings[at+1:], s.tellings[at:])
+	s.tellings[at] = o
+	return o
+}
+
+// untell forgets what an agent was told.
+func (t *Table) untell(a *agent) {
+	for _, o := range a.tellOrder {
+		for i, other := range o.stream.tellings {
+			if other == o {
+				o.stream.tellings = append(o.stream.tellings[:i], o.stream.tellings[i+1:]...)
+				break
+			}
+		}
+	}
+	a.tellings, a.tellOrder = map[*stream]*telling{}, nil
+}
+
+// widen doubles the agents told of streams whose first request goes on waiting.
+func (t *Table) widen(now time.Time) {
+	for _, s := range t.active {
+		if now.Before(s.widenAt) || s.spread >= t.cfg.MaxSpread {
+			continue
+		}
+		s.spread = min(2*s.spread, t.cfg.MaxSpread)
+		s.widenAt = now.Add(t.cfg.WidenAfter)
+	}
+}
+
+// plan chooses whom to tell of what waits and sends what is due.
+func (t *Table) plan(now time.Time) cleat.Effects {
+	for _, s := range t.active {
+		t.choose(s)
+	}
+	var e cleat.Effects
+	for _, a := range t.order {
+		if m := t.offers(now, a); m != nil {
+			e.Sends = append(e.Sends, cleat.Send{To: a.id, Message: m})
+		}
+	}
+	return e
+}
+
+// choose adds agents to a stream's tellings until its spread is reached.
+func (t *Table) choose(s *stream) {
+	told := 0
+	for _, o := range s.tellings {
+		if o.left > 0 || o.dirty {
+			told++
+		}
+	}
+	for told < s.spread {
+		a := t.nearest(s)
+		if a == nil {
+			return
+		}
+		o := a.telling(s)
+		o.dirty = true
+		told++
+	}
+}
+
+// nearest returns the best agent that was not told of the stream.
+func (t *Table) nearest(s *stream) *agent {
+	var best *agent
+	least := math.Inf(1)
+	for _, a := range t.order {
+		if o, ok := a.tellings[s]; (ok && (o.left > 0 || o.dirty)) || !a.serves(s) {
+			continue
+		}
+		if score := t.candidate(a, s).Score(); score < least {
+			best, least = a, score
+		}
+	}
+	return best
+}
+
+func (t *Table) candidate(a *agent, s *stream) route.Candidate {
+	c := route.Candidate{SameDomain: a.domain == t.self.Domain, Slow: true, Random: t.rnd.Float64()}
+	var prefix []uint64
+	if r := s.head(); r != nil {
+		prefix = r.work.Prefix
+	}
+	for _, u := range a.upstreams {
+		if !u.serves(s.pool.key) {
+			continue
+		}
+		c.Slow = c.Slow && u.state.Slow
+		c.Limit += int(u.state.Limit)
+		c.Running += int(u.state.Running) + u.started
+		c.Matched = max(c.Matched, u.matched(prefix))
+	}
+	return c
+}
+
+// offers builds the message due to an agent, or nil.
+func (t *Table) offers(now time.Time, a *agent) *cleat.Offers {
+	if !a.up {
+		return nil
+	}
+	interval := now.Sub(a.sentAt) >= t.cfg.OfferInterval
+	send := a.whole
+	for _, o := range a.tellOrder {
+		o.review(now)
+		send = send || (o.dirty && (interval || o.urgent()))
+	}
+	if !send {
+		return nil
+	}
+	a.seq++
+	m := &cleat.Offers{Incarnation: t.self.Incarnation, Seq: a.seq, Whole: a.whole}
+	for _, o := range a.tellOrder {
+		if o.dirty || (a.whole && o.left > 0) {
+			m.Offers = append(m.Offers, o.offer(now))
+		}
+	}
+	a.whole, a.sentAt = false, now
+	a.prune()
+	return m
+}
+
+// review marks a telling that is too far from what waits.
+func (o *telling) review(now time.Time) {
+	waiting := o.stream.waiting
+	switch {
+	case now.Before(o.heldUntil):
+		o.dirty = false
+	case o.left > 0 && (waiting >= 2*o.left || 2*waiting <= o.left):
+		o.dirty = true
+	case o.left == 0 && waiting == 0:
+		o.dirty = false
+	}
+}
+
+// urgent reports whether the agent believes that nothing waits while something does.
+func (o *telling) urgent() bool {
+	return o.left == 0 && o.stream.waiting > 0
+}
+
+func (o *telling) offer(now time.Time) cleat.Offer {
+	s := o.stream
+	m := cleat.Offer{Stream: s.key, Waiting: uint32(s.waiting), Rank: s.rank, Share: s.workspace.share}
+	if r := s.head(); r != nil && s.waiting > 0 {
+		m.Head, m.Age = r.work.Estimate, now.Sub(r.work.Received)
+		m.Busy = now.Sub(s.workspace.busySince)
+		m.Affinity = o.affinity(r)
+	}
+	o.left, o.dirty, o.asked = s.waiting, false, false
+	return m
+}
+
+// affinity is the cached part of the first request's prefix, in 255ths.
+func (o *telling) affinity(r *request) uint8 {
+	if len(r.work.Prefix) == 0 {
+		return 0
+	}
+	best := 0
+	for _, u := range o.agent.upstreams {
+		if u.serves(o.stream.pool.key) {
+			best = max(best, u.matched(r.work.Prefix))
+		}
+	}
+	return uint8(255 * best / len(r.work.Prefix))
+}
+
+// prune drops the tellings of streams that were withdrawn.
+func (a *agent) prune() {
+	kept := a.tellOrder[:0]
+	for _, o := range a.tellOrder {
+		if o.left > 0 || o.dirty || o.stream.waiting > 0 {
+			kept = append(kept, o)
+			continue
+		}
+		delete(a.tellings, o.stream)
+		for i, other := range o.stream.tellings {
+			if other == o {
+				o.stream.tellings = append(o.stream.tellings[:i], o.stream.tellings[i+1:]...)
+				break
+			}
+		}
+	}
+	clear(a.tellOrder[len(kept):])
+	a.tellOrder = kept
+}
--- /dev/null
+++ b/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds how many retries a workspace may cause.
+package retry
--- /dev/null
+++ b/slots/config.go
@@ -0,0 +1,85 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/admit"
+)
+
+// Config sets an agent's pace and bounds.
+type Config struct {
+	GrantLifetime    time.Duration // From the receipt of a grant.
+	GrantSlack       time.Duration // How much longer the agent keeps the slot.
+	UpstreamTimeout  time.Duration // Without an announcement.
+	AskMin           time.Duration // First pause between asks.
+	AskMax           time.Duration
+	StateMin         time.Duration // Least time between states to one entry.
+	StatePerEntry    time.Duration // Least time between any two states of this agent.
+	RememberAttempts time.Duration // How long an ended attempt stays known.
+	MaxRemembered    int
+	MaxPrefixes      int        // Cached digests known of one upstream.
+	StatePrefixes    int        // Digests in one state.
+	ClassCredit      cleat.Cost // For one share: how far the first class may run ahead of other workspaces.
+	ReturnSlack      cleat.Cost // For one share: what a workspace that waits elsewhere may lag behind.
+	AgeingAfter      time.Duration
+	ChargeAhead      float64 // Charged beyond what a stream that outran its estimate has used.
+	Admit            admit.Config
+}
+
+// Defaults sets what is left out.
+func (c *Config) Defaults() {
+	setDuration(&c.GrantLifetime, 500*time.Millisecond)
+	setDuration(&c.GrantSlack, 500*time.Millisecond)
+	setDuration(&c.UpstreamTimeout, 3*time.Second)
+	setDuration(&c.AskMin, 100*time.Millisecond)
+	setDuration(&c.AskMax, 2*time.Second)
+	setDuration(&c.StateMin, 500*time.Millisecond)
+	setDuration(&c.StatePerEntry, 100*time.Millisecond)
+	setDuration(&c.RememberAttempts, 15*time.Minute)
+	setDuration(&c.AgeingAfter, 30*time.Second)
+	if c.MaxRemembered == 0 {
+		c.MaxRemembered = 100000
+	}
+	if c.MaxPrefixes == 0 {
+		c.MaxPrefixes = 8192
+	}
+	if c.StatePrefixes == 0 {
+		c.StatePrefixes = 32
+	}
+	if c.ClassCredit == 0 {
+		c.ClassCredit = 500
+	}
+	if c.ReturnSlack == 0 {
+		c.ReturnSlack = 4000
+	}
+	if c.ChargeAhead == 0 {
+		c.ChargeAhead = 0.25
+	}
+	c.Admit.Defaults()
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (c *Config) Validate() error {
+	if c.GrantLifetime <= 0 || c.GrantSlack <= 0 {
+		return trace.BadParameter("Config.Validate: GrantLifetime and GrantSlack must be positive")
+	}
+	if c.AskMin <= 0 || c.AskMax < c.AskMin {
+		return trace.BadParameter("Config.Validate: AskMin must be positive and AskMax not below it")
+	}
+	if c.RememberAttempts < time.Minute || c.MaxRemembered < 1 {
+		return trace.BadParameter("Config.Validate: RememberAttempts must be at least a minute and MaxRemembered positive")
+	}
+	if c.ClassCredit < 0 || c.ReturnSlack < 0 || c.ChargeAhead < 0 {
+		return trace.BadParameter("Config.Validate: ClassCredit, ReturnSlack and ChargeAhead must not be negative")
+	}
+	return c.Admit.Validate()
+}
+
+func setDuration(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
--- /dev/null
+++ b/slots/flow.go
@@ -0,0 +1,211 @@
+package slots
+
+import (
+	"time"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/fair"
+	"marigoldcleat.example/cleat/ledger"
+)
+
+// flow is one workspace at this agent.
+type flow struct {
+	id      cleat.WorkspaceID
+	account *ledger.Account
+	share   float64
+	item    *fair.Item // In the backlog, while any lane has offers.
+	lanes   []*lane
+	pending float64 // Of live grants, for one share.
+	settled float64 // Of ended attempts, for one share.
+	flying  float64 // Charged for running attempts, for one share.
+	running int
+	served  uint64
+}
+
+// lane is a workspace's offers for one model or pool.
+type lane struct {
+	flow   *flow
+	key    poolKey
+	item   *fair.Item
+	offers []*offer // Of all entries, with some waiting.
+}
+
+// offer is the latest word of one entry on one stream.
+type offer struct {
+	entry    *entry
+	lane     *lane
+	stream   cleat.Stream
+	waiting  int // Not counting what was granted since.
+	granted  int // Live grants.
+	head     cleat.Cost
+	rank     int
+	since    time.Time // When its first request began to wait.
+	affinity uint8
+	listed   bool
+}
+
+func (t *Table) flow(w cleat.WorkspaceID) *flow {
+	if f, ok := t.flows[w]; ok {
+		return f
+	}
+	f := &flow{id: w, account: t.book.Account(w), share: cleat.DefaultShare}
+	f.item = fair.NewItem(string(w), f)
+	t.flows[w] = f
+	t.flowOrder = append(t.flowOrder, f)
+	return f
+}
+
+func (f *flow) lane(k poolKey) *lane {
+	for _, l := range f.lanes {
+		if l.key == k {
+			return l
+		}
+	}
+	l := &lane{flow: f, key: k}
+	l.item = fair.NewItem(string(f.id), l)
+	f.lanes = append(f.lanes, l)
+	return l
+}
+
+// virtual is the workspace's service over the fleet with the grants that are out.
+func (f *flow) virtual() float64 {
+	return f.account.Virtual() + f.pending
+}
+
+func (f *flow) waiting() uint32 {
+	n := 0
+	for _, l := range f.lanes {
+		for _, o := range l.offers {
+			n += o.left()
+		}
+	}
+	return uint32(n)
+}
+
+// left is how many requests of the offer may still be granted.
+func (o *offer) left() int {
+	return max(0, o.waiting-o.granted)
+}
+
+// place moves the workspace and its lanes to where its service puts them.
+func (t *Table) place(f *flow) {
+	v, backlogged := f.virtual(), false
+	for _, l := range f.lanes {
+		h := t.pool(l.key)
+		if len(l.offers) == 0 {
+			h.Remove(l.item)
+			continue
+		}
+		backlogged = true
+		h.Set(l.item, v-fair.ClassCredit(t.cfg.ClassCredit, l.bestRank()))
+	}
+	if backlogged {
+		t.backlog.Set(f.item, v)
+	} else {
+		t.backlog.Remove(f.item)
+	}
+}
+
+func (t *Table) pool(k poolKey) *fair.Heap {
+	h, ok := t.pools[k]
+	if !ok {
+		h = &fair.Heap{}
+		t.pools[k] = h
+	}
+	return h
+}
+
+// list puts an offer into its lane or takes it out, by whether any of it is left.
+func (t *Table) list(o *offer) {
+	want := o.left() > 0
+	if want == o.listed {
+		return
+	}
+	o.listed = want
+	l := o.lane
+	if want {
+		l.offers = append(l.offers, o)
+		return
+	}
+	for i, other := range l.offers {
+		if other == o {
+			l.offers = append(l.offers[:i], l.offers[i+1:]...)
+			return
+		}
+	}
+}
+
+func (l *lane) bestRank() int {
+	best := l.offers[0].rank
+	for _, o := range l.offers[1:] {
+		best = min(best, o.rank)
+	}
+	return best
+}
+
+// best returns the offer that goes first in the workspace: by class, raised by
+// its waiting time, then the longest wait.
+func (l *lane) best(now time.Time, ageing time.Duration) *offer {
+	var best *offer
+	for _, o := range l.offers {
+		if best == nil || o.before(best, now, ageing) {
+			best = o
+		}
+	}
+	return best
+}
+
+func (o *offer) before(other *offer, now time.Time, ageing time.Duration) bool {
+	a, b := o.aged(now, ageing), other.aged(now, ageing)
+	if a != b {
+		return a < b
+	}
+	if !o.since.Equal(other.since) {
+		return o.since.Before(other.since)
+	}
+	if o.entry.id != other.entry.id {
+		return o.entry.id < other.entry.id
+	}
+	return o.stream.Class < other.stream.Class
+}
+
+// aged is the rank less one for each ageing period waited.
+func (o *offer) aged(now time.Time, ageing time.Duration) int {
+	return o.rank - int(now.Sub(o.since)/ageing)
+}
+
+// arrive raises a workspace that was not backlogged here: to the least served
+// of the backlogged when it just began to wait, else only to within the slack
+// of them, since it may have waited at other agents.
+func (t *Table) arrive(f *flow, busy time.Duration) {
+	floor := t.lastV
+	if least := t.backlog.Min(); least != nil {
+		floor = least.Key()
+	}
+	if busy > freshBound {
+		floor -= float64(t.cfg.ReturnSlack) / f.share
+	}
+	t.book.Raise(f.account, floor-f.pending)
+}
+
+// freshBound is how long a workspace may have waited and still count as just
+// returned from idle.
+const freshBound = 100 * time.Millisecond
+
+// charge books service to a workspace.
+func (t *Table) charge(f *flow, service float64) {
+	if service >= 0 {
+		t.book.Charge(f.account, service)
+	} else {
+		t.book.Credit(f.account, -service)
+	}
+}
+
+// audit checks that what was charged is what ran and what runs.
+func (t *Table) audit(f *flow) {
+	own, want := f.account.Own(), f.settled+f.flying
+	if diff := own - want; diff > 1e-3+1e-9*want || -diff > 1e-3+1e-9*want {
+		assert.Fail("service-accounted", "%s: charged %v, settled %v, running %v", f.id, own, f.settled, f.flying)
+	}
+}
