Add the log store and a disk that fails like disks do

Control instances keep their state in one data folder, with no outside store. A record counts once its file and folder are synced. After a failed sync the segment is given up, because the pages may be gone already; the records go to a new one. Each record names the size synced before it, which tells a torn tail from damage in front of synced records.

--- /dev/null
+++ b/fdisk/file.go
@@ -0,0 +1,63 @@
+package fdisk
+
+import (
+	"bytes"
+
+	"golang.org/x/sys/unix"
+)
+
+// file is an open file of a Disk.
+type file struct {
+	disk  *Disk
+	inode *inode
+}
+
+// Write appends p; on a full disk it writes what fits and returns ENOSPC.
+func (f *file) Write(p []byte) (int, error) {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if err := f.disk.step(); err != nil {
+		return 0, err
+	}
+	n := len(p)
+	if f.disk.capacity > 0 {
+		n = max(min(n, f.disk.capacity-f.disk.used()), 0)
+	}
+	f.inode.data = append(f.inode.data, p[:n]...)
+	if n < len(p) {
+		return n, unix.ENOSPC
+	}
+	return n, nil
+}
+
+// Sync makes all that was written last, or loses it.
+func (f *file) Sync() error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	size := len(f.inode.data)
+	if err := f.disk.sync(); err != nil {
+		f.inode.lost = append(f.inode.lost, span{from: len(f.inode.synced), to: size})
+		return err
+	}
+	f.inode.synced = bytes.Clone(f.inode.data[:size])
+	for _, s := range f.inode.lost {
+		clear(f.inode.synced[min(s.from, size):min(s.to, size)])
+	}
+	return nil
+}
+
+// Truncate cuts the file to size bytes.
+func (f *file) Truncate(size int64) error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if err := f.disk.step(); err != nil {
+		return err
+	}
+	f.inode.data = bytes.Clone(f.inode.data[:size])
+	return nil
+}
+
+// Close closes the file without syncing it.
+func (f *file) Close() error {
+	return nil
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,300 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sys/unix"
+
+	"marigoldcleat.example/cleat"
+)
+
+const (
+	// FormatVersion is the version of the files that this package writes.
+	FormatVersion = 1
+
+	segmentPrefix  = "segment-"
+	snapshotPrefix = "snapshot-"
+	temporary      = ".tmp"
+	magic          = "marigoldcleat store"
+
+	// snapshotChunkBytes bounds one record of a snapshot file.
+	snapshotChunkBytes = 1 << 20
+)
+
+// Config bounds the files of a store.
+type Config struct {
+	// SegmentBytes is the size beyond which a new segment is begun.
+	SegmentBytes int64
+}
+
+// Defaults sets what was left out.
+func (c *Config) Defaults() {
+	if c.SegmentBytes == 0 {
+		c.SegmentBytes = 4 << 20
+	}
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (c *Config) Validate() error {
+	if c.SegmentBytes < 1 {
+		return trace.BadParameter("Config.Validate: SegmentBytes must be positive")
+	}
+	return nil
+}
+
+// header opens every file.
+type header struct {
+	Magic    string `msgpack:"m"`
+	Version  int    `msgpack:"v"`
+	Seq      uint64 `msgpack:"n"`
+	Base     bool   `msgpack:"b,omitempty"` // Earlier segments no longer count.
+	Snapshot string `msgpack:"s,omitempty"` // Set with Base: the snapshot in front of the records.
+	Previous uint64 `msgpack:"p,omitempty"` // Bytes of the segment before that count.
+	Size     uint64 `msgpack:"z,omitempty"` // Of a snapshot's content.
+}
+
+// Contents is what a store held when it was opened.
+type Contents struct {
+	Snapshot []byte   // Nil when there is none.
+	Records  [][]byte // After the snapshot, in order.
+	Cut      int      // Bytes of a torn tail that were dropped.
+}
+
+// Store is an open log; it is not safe for concurrent use.
+type Store struct {
+	cfg      Config
+	disk     cleat.Disk
+	unlock   func() error
+	file     cleat.File
+	seq      uint64
+	synced   uint64 // Bytes of the open segment known to be synced.
+	pending  [][]byte
+	failed   bool   // Nothing more may be written to the open segment.
+	snapshot string // The snapshot in use.
+	first    uint64 // The oldest segment that counts.
+}
+
+// Open locks the folder and reads the log; damage is a trace.BadParameter
+// error that names the file and the offset.
+func Open(cfg Config, disk cleat.Disk) (*Store, *Contents, error) {
+	cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	unlock, err := disk.Lock()
+	if err != nil {
+		return nil, nil, trace.Wrap(err, "Open: lock")
+	}
+	s := &Store{cfg: cfg, disk: disk, unlock: unlock}
+	c, err := s.recover()
+	if err != nil {
+		return nil, nil, trace.NewAggregate(err, unlock())
+	}
+	return s, c, nil
+}
+
+// Append queues records for the next Sync.
+func (s *Store) Append(records ...[]byte) {
+	s.pending = append(s.pending, records...)
+}
+
+// Sync makes the queued records last; on an error none of them counts as
+// stored, they stay queued and Sync may be called again.
+func (s *Store) Sync() error {
+	if len(s.pending) == 0 && !s.failed {
+		return nil
+	}
+	if s.failed || s.synced >= uint64(s.cfg.SegmentBytes) {
+		return s.rotate(header{Previous: s.synced}, s.pending)
+	}
+	data := encodeFrames(nil, s.pending, s.synced)
+	if err := writeSynced(s.file, data); err != nil {
+		s.failed = true
+		return trace.Wrap(err, "Store.Sync: %s", segmentName(s.seq))
+	}
+	s.synced += uint64(len(data))
+	s.pending = nil
+	return nil
+}
+
+// Compact replaces the whole log with a snapshot and the records after it;
+// queued records are dropped, so records must hold what they said. On an error
+// the log stays as it was and Compact may be called again.
+func (s *Store) Compact(snapshot []byte, records [][]byte) error {
+	name := fmt.Sprintf("%s%016d", snapshotPrefix, s.seq+1)
+	if err := s.writeSnapshot(name, snapshot); err != nil {
+		return trace.Wrap(err, "Store.Compact")
+	}
+	if err := s.rotate(header{Base: true, Snapshot: name}, records); err != nil {
+		return trace.Wrap(err, "Store.Compact")
+	}
+	s.snapshot = name
+	s.first = s.seq
+	return s.clean()
+}
+
+// Size returns the bytes of all files in the folder that count.
+func (s *Store) Size() (int64, error) {
+	names, err := s.disk.List()
+	if err != nil {
+		return 0, trace.Wrap(err, "Store.Size")
+	}
+	var sum int64
+	for _, name := range names {
+		data, err := s.read(name)
+		if err != nil {
+			return 0, trace.Wrap(err, "Store.Size")
+		}
+		sum += int64(len(data))
+	}
+	return sum, nil
+}
+
+// Close closes the files and releases the lock; queued records are dropped.
+func (s *Store) Close() error {
+	return trace.NewAggregate(s.file.Close(), s.unlock())
+}
+
+// IsDiskFull reports whether err says that the disk has no room left.
+func IsDiskFull(err error) bool {
+	return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT)
+}
+
+func encodeFrames(dst []byte, records [][]byte, synced uint64) []byte {
+	for _, r := range records {
+		dst = appendFrame(dst, r, synced)
+	}
+	return dst
+}
+
+func writeSynced(file cleat.File, data []byte) error {
+	if _, err := file.Write(data); err != nil {
+		return trace.Wrap(err, "write")
+	}
+	if err := file.Sync(); err != nil {
+		return trace.Wrap(err, "sync")
+	}
+	return nil
+}
+
+// rotate begins a new segment that holds records from the start.
+func (s *Store) rotate(h header, records [][]byte) error {
+	h.Seq = s.seq + 1
+	data, err := encodeHeader(h)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	data = encodeFrames(data, records, 0)
+	file, err := s.create(segmentName(h.Seq), data)
+	if err != nil {
+		// The new name may or may not last; so nothing may follow in the old segment.
+		s.failed = true
+		return trace.Wrap(err)
+	}
+	if s.file != nil {
+		_ = s.file.Close()
+	}
+	s.file = file
+	s.seq = h.Seq
+	s.synced = uint64(len(data))
+	s.pending = nil
+	s.failed = false
+	return nil
+}
+
+// create makes a file that is whole as soon as it bears its name.
+func (s *Store) create(name string, data []byte) (cleat.File, error) {
+	file, err := s.disk.Create(name + temporary)
+	if err != nil {
+		return nil, trace.Wrap(err, "create %s", name)
+	}
+	if err := s.publish(file, name, data); err != nil {
+		_ = file.Close()
+		return nil, trace.Wrap(err, "create %s", name)
+	}
+	return file, nil
+}
+
+func (s *Store) publish(file cleat.File, name string, data []byte) error {
+	if err := writeSynced(file, data); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := s.disk.Rename(name+temporary, name); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(s.disk.SyncFolder())
+}
+
+func (s *Store) writeSnapshot(name string, snapshot []byte) error {
+	data, err := encodeHeader(header{Seq: s.seq + 1, Size: uint64(len(snapshot))})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for chunk := range slices.Chunk(snapshot, snapshotChunkBytes) {
+		data = appendFrame(data, chunk, 0)
+	}
+	file, err := s.create(name, data)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(file.Close())
+}
+
+// clean removes the files that no longer count.
+func (s *Store) clean() error {
+	names, err := s.disk.List()
+	if err != nil {
+		return trace.Wrap(err, "Store.clean")
+	}
+	for _, name := range names {
+		if s.counts(name) {
+			continue
+		}
+		if err := s.disk.Remove(name); err != nil {
+			return trace.Wrap(err, "Store.clean")
+		}
+	}
+	return trace.Wrap(s.disk.SyncFolder(), "Store.clean")
+}
+
+func (s *Store) counts(name string) bool {
+	if strings.HasSuffix(name, temporary) {
+		return false
+	}
+	if strings.HasPrefix(name, snapshotPrefix) {
+		return name == s.snapshot
+	}
+	if strings.HasPrefix(name, segmentPrefix) {
+		return name >= segmentName(s.first)
+	}
+	return true
+}
+
+func (s *Store) read(name string) (data []byte, err error) {
+	r, err := s.disk.Read(name)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer func() { err = trace.NewAggregate(err, r.Close()) }()
+	return io.ReadAll(r)
+}
+
+func encodeHeader(h header) ([]byte, error) {
+	h.Magic = magic
+	h.Version = FormatVersion
+	payload, err := msgpack.Marshal(&h)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return appendFrame(nil, payload, 0), nil
+}
+
+func segmentName(seq uint64) string {
+	return fmt.Sprintf("%s%016d", segmentPrefix, seq)
+}
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,240 @@
+package store_test
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/gravitational/trace"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/fdisk"
+	"marigoldcleat.example/cleat/store"
+)
+
+func TestStore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store")
+}
+
+// history is what a scenario wrote: all records in order, how many were
+// acknowledged, and how many each snapshot replaced.
+type history struct {
+	written int
+	acked   int
+}
+
+func record(n int) []byte {
+	return []byte(fmt.Sprintf("record %d %s", n, strings.Repeat("x", n%90)))
+}
+
+// run appends in groups, compacts now and then and stops at the first error.
+func (h *history) run(s *store.Store, groups int) error {
+	for g := range groups {
+		if g%7 == 6 {
+			if err := s.Compact([]byte(fmt.Sprint(h.written)), nil); err != nil {
+				return err
+			}
+			h.acked = h.written
+			continue
+		}
+		for range 3 {
+			s.Append(record(h.written))
+			h.written++
+		}
+		if err := s.Sync(); err != nil {
+			return err
+		}
+		h.acked = h.written
+	}
+	return nil
+}
+
+// check expects every acknowledged record, and no gap after them.
+func (h *history) check(c *store.Contents) {
+	GinkgoHelper()
+	first := 0
+	if c.Snapshot != nil {
+		_, err := fmt.Sscan(string(c.Snapshot), &first)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	for i, r := range c.Records {
+		Expect(r).To(Equal(record(first + i)))
+	}
+	Expect(first + len(c.Records)).To(And(BeNumerically(">=", h.acked), BeNumerically("<=", h.written)))
+}
+
+var _ = Describe("Store", func() {
+	cfg := store.Config{SegmentBytes: 400}
+	var disk *fdisk.Disk
+
+	BeforeEach(func() {
+		disk = fdisk.New(rand.New(rand.NewSource(1)))
+	})
+
+	open := func() (*store.Store, *store.Contents) {
+		GinkgoHelper()
+		s, c, err := store.Open(cfg, disk)
+		Expect(err).NotTo(HaveOccurred())
+		return s, c
+	}
+
+	It("keeps what it acknowledged over a crash at every operation", func() {
+		s, _ := open()
+		disk.CrashAt(0)
+		Expect(new(history).run(s, 24)).To(Succeed())
+		ops := disk.Ops()
+		for seed := range int64(8) {
+			for at := 1; at <= ops; at++ {
+				disk = fdisk.New(rand.New(rand.NewSource(seed)))
+				h := &history{}
+				s, _ := open()
+				disk.CrashAt(at)
+				_ = h.run(s, 24)
+				disk.Crash()
+				s, c := open()
+				h.check(c)
+				h.written = h.acked
+				Expect(s.Close()).To(Succeed())
+			}
+		}
+	})
+
+	It("keeps what it acknowledged over a crash while it recovers", func() {
+		for seed := range int64(8) {
+			for at := 1; at <= 12; at++ {
+				disk = fdisk.New(rand.New(rand.NewSource(seed)))
+				h := &history{}
+				s, _ := open()
+				Expect(h.run(s, 10)).To(Succeed())
+				disk.Crash()
+				disk.CrashAt(at)
+				_, _, _ = store.Open(cfg, disk)
+				disk.Crash()
+				_, c := open()
+				h.check(c)
+			}
+		}
+	})
+
+	It("stores the queued records after failed syncs", func() {
+		for failures := 1; failures <= 4; failures++ {
+			disk = fdisk.New(rand.New(rand.NewSource(int64(failures))))
+			h := &history{}
+			s, _ := open()
+			Expect(h.run(s, 3)).To(Succeed())
+			disk.FailSyncs(failures)
+			s.Append(record(h.written))
+			h.written++
+			for range failures {
+				Expect(s.Sync()).NotTo(Succeed())
+			}
+			Expect(s.Sync()).To(Succeed())
+			h.acked = h.written
+			Expect(h.run(s, 3)).To(Succeed())
+			disk.Crash()
+			_, c := open()
+			h.check(c)
+		}
+	})
+
+	It("survives a full disk", func() {
+		s, _ := open()
+		h := &history{}
+		Expect(h.run(s, 3)).To(Succeed())
+		disk.SetCapacity(500)
+		err := h.run(s, 50)
+		Expect(store.IsDiskFull(err)).To(BeTrue())
+		Expect(store.IsDiskFull(s.Sync())).To(BeTrue())
+		disk.SetCapacity(0)
+		Expect(s.Sync()).To(Succeed())
+		h.acked = h.written
+		disk.Crash()
+		_, c := open()
+		h.check(c)
+	})
+
+	It("cuts a torn tail", func() {
+		s, _ := open()
+		s.Append(record(0))
+		Expect(s.Sync()).To(Succeed())
+		file, err := disk.Open("segment-0000000000000001")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = file.Write([]byte{1, 2, 3})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(file.Sync()).To(Succeed())
+		disk.Crash()
+		_, c := open()
+		Expect(c.Cut).To(Equal(3))
+		Expect(c.Records).To(Equal([][]byte{record(0)}))
+	})
+
+	damage := map[string]struct {
+		name   string
+		offset int
+		want   string
+	}{
+		"header":           {"segment-0000000000000001", 3, "segment-0000000000000001 is damaged at offset 0"},
+		"middle":           {"segment-0000000000000001", 100, "segment-0000000000000001 is damaged at offset"},
+		"earlier segment":  {"segment-0000000000000001", 420, "segment-0000000000000001 is damaged at offset"},
+		"header of second": {"segment-0000000000000002", 3, "segment-0000000000000002 is damaged at offset 0"},
+	}
+	for name, d := range damage {
+		It("refuses damage in the "+name, func() {
+			s, _ := open()
+			Expect(new(history).run(s, 6)).To(Succeed())
+			disk.Corrupt(d.name, d.offset)
+			disk.Crash()
+			_, _, err := store.Open(cfg, disk)
+			Expect(err).To(MatchError(ContainSubstring(d.want)))
+			Expect(trace.IsBadParameter(err)).To(BeTrue())
+		})
+	}
+
+	It("refuses a missing segment", func() {
+		s, _ := open()
+		Expect(new(history).run(s, 6)).To(Succeed())
+		Expect(disk.Remove("segment-0000000000000001")).To(Succeed())
+		Expect(disk.SyncFolder()).To(Succeed())
+		disk.Crash()
+		_, _, err := store.Open(cfg, disk)
+		Expect(err).To(MatchError(ContainSubstring("are missing")))
+	})
+
+	It("refuses a second user", func() {
+		open()
+		_, _, err := store.Open(cfg, disk)
+		Expect(trace.IsAlreadyExists(err)).To(BeTrue())
+	})
+})
+
+var _ = Describe("Folder", func() {
+	It("keeps a store over reopening and refuses a second process", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "data")
+		disk, err := store.NewFolder(path)
+		Expect(err).NotTo(HaveOccurred())
+		h := &history{}
+		s, _, err := store.Open(store.Config{}, disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.run(s, 20)).To(Succeed())
+		_, _, err = store.Open(store.Config{}, disk)
+		Expect(trace.IsAlreadyExists(err)).To(BeTrue())
+		Expect(s.Close()).To(Succeed())
+		s, c, err := store.Open(store.Config{}, disk)
+		Expect(err).NotTo(HaveOccurred())
+		h.check(c)
+		Expect(s.Close()).To(Succeed())
+		names, err := disk.List()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(names).To(HaveLen(2))
+		_, err = os.Stat(filepath.Join(path, "lock"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
+
+var _ cleat.Disk = (*store.Folder)(nil)
