--- a/fleet.go
+++ b/fleet.go
@@ -96,3 +96,18 @@
 	// Record stores how a claimed request ended; it is retried until a quorum has it or the retention ends.
 	Record(o ClaimOutcome)
 }
+
+// StaticFleet is a FleetSource whose settings never change.
+type StaticFleet struct {
+	fleet *Fleet
+}
+
+// NewStaticFleet returns a source of f, or of no settings when f is nil.
+func NewStaticFleet(f *Fleet) StaticFleet {
+	return StaticFleet{fleet: f}
+}
+
+// Fleet returns the settings, or false when there are none.
+func (s StaticFleet) Fleet() (*Fleet, bool) {
+	return s.fleet, s.fleet != nil
+}
--- a/request.go
+++ b/request.go
@@ -66,6 +66,7 @@
 	ReasonNotReady      Reason = "settings_unknown" // The entry has no confirmed settings yet.
 	ReasonStaleGrant    Reason = "stale_grant"      // The grant is void or of another incarnation.
 	ReasonCallerGone    Reason = "caller_gone"      // The caller closed its connection.
+	ReasonCallerSlow    Reason = "caller_slow"      // The request's body did not arrive in time.
 	ReasonKeyMismatch   Reason = "key_mismatch"     // The key was used before with other bytes.
 	ReasonNotKept       Reason = "answer_not_kept"  // It ran before; its answer was too large to be recorded.
 	ReasonBufferOverrun Reason = "buffer_overrun"   // The answer outran the resume buffer.
--- a/telem/flags.go
+++ b/telem/flags.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/wire"
 )
 
 // MinFleetKeyBytes is the least length of the shared fleet key.
@@ -37,7 +38,7 @@
 func RegisterFlags(app *kingpin.Application) *Flags {
 	f := new(Flags)
 	app.Flag("id", "Name of this instance; kept over restarts, unique in the fleet.").Envar("CLEAT_ID").Required().StringVar(&f.ID)
-	app.Flag("fleet", "Name of the fleet; links to another fleet are refused.").Envar("CLEAT_FLEET").Default("cleat").StringVar(&f.Fleet)
+	app.Flag("fleet", "Name of the fleet; links to another fleet are refused.").Envar("CLEAT_FLEET").Default(wire.DefaultFleet).StringVar(&f.Fleet)
 	app.Flag("listen", "Address for links from other instances, as host:port; port 0 takes a free one.").Envar("CLEAT_LISTEN").Default("127.0.0.1:0").StringVar(&f.Listen)
 	app.Flag("http", "Address for HTTP, as host:port; port 0 takes a free one.").Envar("CLEAT_HTTP").Default("127.0.0.1:0").StringVar(&f.HTTP)
 	app.Flag("domain", "Failure domain of this instance.").Envar("CLEAT_DOMAIN").Default("default").StringVar(&f.Domain)
@@ -125,6 +126,21 @@
 	}, nil
 }
 
+// Wire returns the configuration of links, or a trace.BadParameter error that
+// names the wrong flag.
+func (f *Flags) Wire() (wire.Config, error) {
+	t, err := f.TLS()
+	if err != nil {
+		return wire.Config{}, err
+	}
+	cfg := wire.Config{Fleet: f.Fleet, Key: []byte(f.FleetKey), TLS: t}
+	cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return wire.Config{}, trace.Wrap(err)
+	}
+	return cfg, nil
+}
+
 // Peer describes this process, started at now, to others; address is where it accepts links.
 func (f *Flags) Peer(now time.Time, role cleat.Role, address string) cleat.Peer {
 	return cleat.Peer{
