--- /dev/null
+++ b/fakes/plain.go
@@ -0,0 +1,181 @@
+package fakes
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+)
+
+// PlainConfig describes a stand-in plain service.
+type PlainConfig struct {
+	ID               cleat.UpstreamID
+	Addr             string // To listen on, as host:port; empty takes a free port on loopback.
+	AgentURL         string // Base URL of its agent's HTTP address; empty announces nothing.
+	Pool             cleat.ModelID
+	Slots            uint32
+	Busy             time.Duration // Each request takes so long.
+	AnnounceInterval time.Duration
+}
+
+// Defaults sets what was left out.
+func (c *PlainConfig) Defaults() {
+	if c.Slots == 0 {
+		c.Slots = defaultSlots
+	}
+	if c.AnnounceInterval == 0 {
+		c.AnnounceInterval = DefaultAnnounceInterval
+	}
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (c *PlainConfig) Validate() error {
+	if c.ID == "" || c.Pool == "" {
+		return trace.BadParameter("PlainConfig.Validate: ID and Pool must not be empty")
+	}
+	return nil
+}
+
+// Plain is a stand-in plain service: POST runs an action and counts it by its
+// idempotency key or else its request id, GET is a lookup.
+type Plain struct {
+	*server
+	cfg PlainConfig
+
+	mu      sync.Mutex
+	faults  faults
+	runs    map[string]int
+	total   int
+	lookups int
+	hold    chan struct{}
+}
+
+// StartPlain starts a stand-in plain service; Close ends it.
+func StartPlain(cfg PlainConfig) (*Plain, error) {
+	cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, trace.Wrap(err, "StartPlain")
+	}
+	p := &Plain{cfg: cfg, runs: make(map[string]int)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathHealth, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST /", p.action)
+	mux.HandleFunc("GET /", p.lookup)
+	s, err := newServer(cfg.Addr, cfg.AgentURL, mux)
+	if err != nil {
+		return nil, trace.Wrap(err, "StartPlain")
+	}
+	p.server = s
+	s.start(cfg.AnnounceInterval, p.announce)
+	return p, nil
+}
+
+// SetFault makes the following requests go wrong after they ran.
+func (p *Plain) SetFault(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults.set(f)
+}
+
+// Hold makes actions that ran wait with their answers until release is called.
+func (p *Plain) Hold() (release func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hold := make(chan struct{})
+	p.hold = hold
+	return sync.OnceFunc(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.hold = nil
+		close(hold)
+	})
+}
+
+// Runs returns how often the action with the key ran.
+func (p *Plain) Runs(key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[key]
+}
+
+// Total returns how many actions ran.
+func (p *Plain) Total() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.total
+}
+
+// MostRuns returns the largest number of runs of one action.
+func (p *Plain) MostRuns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := 0
+	for _, n := range p.runs {
+		most = max(most, n)
+	}
+	return most
+}
+
+// Lookups returns how many lookups were served.
+func (p *Plain) Lookups() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lookups
+}
+
+// Announcement returns what the service says of itself.
+func (p *Plain) Announcement() cleat.Announcement {
+	a := p.announcement(p.cfg.ID, cleat.KindPlain, []cleat.ModelID{p.cfg.Pool})
+	a.Slots = p.cfg.Slots
+	return a
+}
+
+func (p *Plain) announce() { _ = p.post(PathAnnounce, p.Announcement()) }
+
+func (p *Plain) action(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	key := r.Header.Get(cleat.DefaultIdempotencyHeader)
+	if key == "" {
+		key = r.Header.Get(HeaderRequest)
+	}
+	n, hold, fault := p.ran(key)
+	if hold != nil {
+		<-hold
+	}
+	wait(r.Context(), p.cfg.Busy)
+	if fault.Kind != FaultNone {
+		fault.apply(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, "{\"ran\":%q,\"runs\":%d}\n", key, n)
+}
+
+func (p *Plain) ran(key string) (n int, hold chan struct{}, fault Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs[key]++
+	p.total++
+	return p.runs[key], p.hold, p.faults.next()
+}
+
+func (p *Plain) lookup(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.lookups++
+	fault := p.faults.next()
+	p.mu.Unlock()
+	wait(r.Context(), p.cfg.Busy)
+	if fault.Kind != FaultNone {
+		fault.apply(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, "{\"path\":%q}\n", r.URL.Path)
+}
--- /dev/null
+++ b/fakes/server.go
@@ -0,0 +1,156 @@
+package fakes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Paths on which an agent takes what upstreams say of themselves, and which upstreams serve.
+const (
+	PathAnnounce = "/v1/announce"
+	PathLoad     = "/v1/load"
+	PathCache    = "/v1/cache"
+	PathOrders   = "/orders"
+	PathHealth   = "/healthz"
+	PathChat     = "/v1/chat/completions"
+)
+
+// HeaderRequest names the attempt towards upstreams; a resumed stream repeats it.
+const HeaderRequest = "X-Request-Id"
+
+// DefaultAnnounceInterval is how often a stand-in announces itself.
+const DefaultAnnounceInterval = time.Second
+
+const postTimeout = 2 * time.Second
+
+// server is the HTTP side and the announcing worker that both stand-ins share.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+	agentURL string
+	ctx      context.Context
+	stop     context.CancelFunc
+	workers  sync.WaitGroup
+
+	mu      sync.Mutex
+	leaving bool
+}
+
+func newServer(addr, agentURL string, h http.Handler) (*server, error) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, trace.Wrap(err, "newServer: %s", addr)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &server{listener: l, agentURL: agentURL, ctx: ctx, stop: stop}
+	s.http = &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	return s, nil
+}
+
+// URL returns where the stand-in serves.
+func (s *server) URL() string { return "http://" + s.listener.Addr().String() }
+
+// Leave makes the following announcements say that the stand-in leaves.
+func (s *server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Close ends the stand-in at once and cuts its answers.
+func (s *server) Close() {
+	s.stop()
+	_ = s.http.Close()
+	s.workers.Wait()
+}
+
+func (s *server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+func (s *server) start(interval time.Duration, announce func()) {
+	s.workers.Go(func() { _ = s.http.Serve(s.listener) })
+	if s.agentURL == "" {
+		return
+	}
+	s.workers.Go(func() { s.every(interval, announce) })
+}
+
+// every calls f at once and then each interval until the stand-in closes.
+func (s *server) every(interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f()
+		select {
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+// later calls f after a delay unless the stand-in closes before.
+func (s *server) later(delay time.Duration, f func()) {
+	s.workers.Go(func() {
+		if wait(s.ctx, delay) {
+			f()
+		}
+	})
+}
+
+// post tells the agent something; a lost copy is made good by the next one.
+func (s *server) post(path string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, postTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.agentURL+path, bytes.NewReader(b))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		err = errors.New(resp.Status)
+	}
+	return trace.NewAggregate(err, resp.Body.Close())
+}
+
+func (s *server) announcement(id cleat.UpstreamID, kind cleat.UpstreamKind, models []cleat.ModelID) cleat.Announcement {
+	return cleat.Announcement{Upstream: id, Kind: kind, Models: models, Address: s.URL(), Leaving: s.isLeaving()}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
