--- a/engine.go
+++ b/engine.go
@@ -5,6 +5,25 @@
 	"time"
 )
 
+// Paths on which an agent takes what upstreams say of themselves.
+const (
+	PathAgentAnnounce = "/v1/announce"
+	PathAgentLoad     = "/v1/load"
+	PathAgentCache    = "/v1/cache"
+)
+
+// Paths on which upstreams take orders and probes.
+const (
+	PathUpstreamOrders = "/orders"
+	PathUpstreamHealth = "/healthz"
+)
+
+// Header lines towards upstreams.
+const (
+	HeaderUpstreamRequest = "X-Request-Id"  // Names the attempt; a resumed stream repeats it.
+	HeaderLastEvent       = "Last-Event-ID" // Resumes a stream after the event.
+)
+
 // Announcement is what an upstream says of itself to its agent; it repeats as a heartbeat.
 type Announcement struct {
 	Upstream  UpstreamID   `json:"upstream"`
@@ -35,12 +54,13 @@
 
 // Call is a request as handed to an upstream.
 type Call struct {
-	Attempt Attempt
-	Kind    UpstreamKind
-	Method  string
-	Target  string
-	Header  []HeaderField
-	Body    []byte
+	Attempt    Attempt
+	Kind       UpstreamKind
+	Repeatable bool
+	Method     string
+	Target     string
+	Header     []HeaderField
+	Body       []byte
 }
 
 // AnswerSink receives an upstream's answer while it arrives.
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -112,9 +112,9 @@
 		runs:    make(map[string]int),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+PathChat, e.chat)
-	mux.HandleFunc("POST "+PathOrders, e.order)
-	mux.HandleFunc("GET "+PathHealth, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST "+cleat.ChatPath, e.chat)
+	mux.HandleFunc("POST "+cleat.PathUpstreamOrders, e.order)
+	mux.HandleFunc("GET "+cleat.PathUpstreamHealth, func(http.ResponseWriter, *http.Request) {})
 	s, err := newServer(cfg.Addr, cfg.AgentURL, mux)
 	if err != nil {
 		return nil, trace.Wrap(err, "StartEngine")
@@ -170,11 +170,11 @@
 }
 
 func (e *Engine) announce() {
-	if err := e.post(PathAnnounce, e.Announcement()); err != nil {
+	if err := e.post(cleat.PathAgentAnnounce, e.Announcement()); err != nil {
 		return
 	}
 	r := cleat.LoadReport{Upstream: e.cfg.ID, Running: uint32(e.Running())}
-	e.later(e.cfg.ReportDelay, func() { _ = e.post(PathLoad, r) })
+	e.later(e.cfg.ReportDelay, func() { _ = e.post(cleat.PathAgentLoad, r) })
 }
 
 // publish tells the agent late of a change of the cache, or loses the event.
@@ -182,7 +182,7 @@
 	if e.agentURL == "" || (e.cfg.CacheLossEvery > 0 && ev.Seq%uint64(e.cfg.CacheLossEvery) == 0) {
 		return
 	}
-	e.later(e.cfg.ReportDelay, func() { _ = e.post(PathCache, ev) })
+	e.later(e.cfg.ReportDelay, func() { _ = e.post(cleat.PathAgentCache, ev) })
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
--- a/fakes/plain.go
+++ b/fakes/plain.go
@@ -63,7 +63,7 @@
 	}
 	p := &Plain{cfg: cfg, runs: make(map[string]int)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+PathHealth, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET "+cleat.PathUpstreamHealth, func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST /", p.action)
 	mux.HandleFunc("GET /", p.lookup)
 	s, err := newServer(cfg.Addr, cfg.AgentURL, mux)
@@ -135,7 +135,7 @@
 	return a
 }
 
-func (p *Plain) announce() { _ = p.post(PathAnnounce, p.Announcement()) }
+func (p *Plain) announce() { _ = p.post(cleat.PathAgentAnnounce, p.Announcement()) }
 
 func (p *Plain) action(w http.ResponseWriter, r *http.Request) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -143,7 +143,7 @@
 	}
 	key := r.Header.Get(cleat.DefaultIdempotencyHeader)
 	if key == "" {
-		key = r.Header.Get(HeaderRequest)
+		key = r.Header.Get(cleat.HeaderUpstreamRequest)
 	}
 	n, hold, fault := p.ran(key)
 	if hold != nil {
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -15,19 +15,6 @@
 	"marigoldcleat.example/cleat"
 )
 
-// Paths on which an agent takes what upstreams say of themselves, and which upstreams serve.
-const (
-	PathAnnounce = "/v1/announce"
-	PathLoad     = "/v1/load"
-	PathCache    = "/v1/cache"
-	PathOrders   = "/orders"
-	PathHealth   = "/healthz"
-	PathChat     = "/v1/chat/completions"
-)
-
-// HeaderRequest names the attempt towards upstreams; a resumed stream repeats it.
-const HeaderRequest = "X-Request-Id"
-
 // DefaultAnnounceInterval is how often a stand-in announces itself.
 const DefaultAnnounceInterval = time.Second
 
@@ -72,7 +59,9 @@
 
 // Close ends the stand-in at once and cuts its answers.
 func (s *server) Close() {
+	s.mu.Lock()
 	s.stop()
+	s.mu.Unlock()
 	_ = s.http.Close()
 	s.workers.Wait()
 }
@@ -107,6 +96,11 @@
 
 // later calls f after a delay unless the stand-in closes before.
 func (s *server) later(delay time.Duration, f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return
+	}
 	s.workers.Go(func() {
 		if wait(s.ctx, delay) {
 			f()
--- a/fakes/stream.go
+++ b/fakes/stream.go
@@ -1,8 +1,8 @@
 package fakes
 
 import (
-	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,24 +11,6 @@
 	"marigoldcleat.example/cleat"
 )
 
-// chatRequest is the part of a chat request that the stand-in reads.
-type chatRequest struct {
-	Model     cleat.ModelID `json:"model"`
-	Stream    bool          `json:"stream"`
-	MaxTokens int           `json:"max_tokens"`
-	Messages  []struct {
-		Content string `json:"content"`
-	} `json:"messages"`
-}
-
-func (r *chatRequest) prompt() string {
-	var b strings.Builder
-	for _, m := range r.Messages {
-		b.WriteString(m.Content)
-	}
-	return b.String()
-}
-
 // stream is the generation of one answer.
 type stream struct {
 	id       string
@@ -42,12 +24,12 @@
 }
 
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
-	var req chatRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+	req, err := readChat(r)
+	if err != nil {
 		http.Error(w, `{"error":{"message":"malformed"}}`, http.StatusBadRequest)
 		return
 	}
-	s, fault, ok := e.begin(&req, r.Header, time.Now())
+	s, fault, ok := e.begin(req, r.Header, time.Now())
 	if !ok {
 		http.Error(w, `{"error":{"message":"the stream can't be resumed"}}`, http.StatusGone)
 		return
@@ -67,12 +49,20 @@
 	e.answerWhole(w, r, s, fault)
 }
 
+func readChat(r *http.Request) (*cleat.ChatRequest, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	return cleat.ParseChat(body)
+}
+
 // begin registers a new request, or finds the cut stream that the request resumes.
-func (e *Engine) begin(req *chatRequest, h http.Header, now time.Time) (*stream, Fault, bool) {
+func (e *Engine) begin(req *cleat.ChatRequest, h http.Header, now time.Time) (*stream, Fault, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	id := h.Get(HeaderRequest)
-	s, ok := e.resumed(id, h.Get("Last-Event-ID"), now)
+	id := h.Get(cleat.HeaderUpstreamRequest)
+	s, ok := e.resumed(id, h.Get(cleat.HeaderLastEvent), now)
 	if !ok {
 		return nil, Fault{}, false
 	}
@@ -104,14 +94,14 @@
 	return s, true
 }
 
-func (e *Engine) newStream(id string, req *chatRequest) *stream {
-	prompt := req.prompt()
+func (e *Engine) newStream(id string, req *cleat.ChatRequest) *stream {
+	prompt := req.Prompt()
 	hits, added, evicted := e.cache.use(cleat.PrefixDigests(prompt))
 	if len(added)+len(evicted) > 0 {
 		e.events++
 		e.publish(cleat.CacheEvent{Upstream: e.cfg.ID, Seq: e.events, Added: added, Evicted: evicted})
 	}
-	s := &stream{id: id, model: req.Model, total: req.MaxTokens, input: len(prompt) / bytesPerToken}
+	s := &stream{id: id, model: req.Model, total: int(req.TokenLimit()), input: len(prompt) / bytesPerToken}
 	if s.total == 0 {
 		s.total = e.cfg.OutputTokens
 	}
