--- a/cmd/gauge/main.go
+++ b/cmd/gauge/main.go
@@ -1,15 +1,25 @@
-// Command gauge is not implemented yet.
+// Command gauge measures the fleet: its decisions on virtual time, its control
+// state, and the speed of the real path on loopback.
 package main
 
 import (
-	_ "github.com/alecthomas/kingpin/v2"
-	_ "github.com/charmbracelet/log"
-	_ "github.com/gravitational/trace"
-	_ "github.com/oklog/run"
-	_ "github.com/onsi/ginkgo/v2"
-	_ "github.com/onsi/gomega"
-
-	_ "marigoldcleat.example/cleat"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
 )
 
-func main() {}
+const usageGauge = `Measures the router fleet.
+
+Examples:
+
+  gauge policy --deployment pastor-andino --duration 60s
+  gauge policy --deployment lade --faults partition@20s-30s --seeds 20
+  gauge soak --for 10m
+`
+
+func main() {
+	app := kingpin.New("gauge", usageGauge)
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		app.FatalIfError(err, "")
+	}
+}
