--- /dev/null
+++ b/admin/types.go
@@ -0,0 +1,151 @@
+package admin
+
+import (
+	"time"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/config"
+)
+
+// Paths of the API.
+const (
+	PathSetting   = "/v1/setting"
+	PathSettings  = "/v1/settings"
+	PathChanges   = "/v1/changes"
+	PathHistory   = "/v1/history"
+	PathWatch     = "/v1/watch"
+	PathStatus    = "/v1/status"
+	PathWorkspace = "/v1/status/workspace"
+	PathTokens    = "/v1/tokens"
+	PathExport    = "/v1/export"
+	PathControl   = "/v1/ctrl"
+	PathReplicas  = "/v1/ctrl/replicas"
+	PathSnapshot  = "/v1/ctrl/snapshot"
+)
+
+// Code tells programs why a call failed.
+type Code string
+
+// The codes of failed calls; refused changes carry a cleat.ChangeCode too.
+const (
+	CodeUnauthorised Code = "unauthorised"
+	CodeForbidden    Code = "forbidden"
+	CodeInvalid      Code = "invalid"
+	CodeNotFound     Code = "not_found"
+	CodeRefused      Code = "refused"      // A change was refused; its result says why.
+	CodeNotAccepted  Code = "not_accepted" // Nothing changed, for lack of a quorum; ask again.
+	CodeFateUnknown  Code = "fate_unknown" // The change may be accepted; send it again with its operation id.
+)
+
+// Problem is the body of a failed call.
+type Problem struct {
+	Code    Code                `json:"code"`
+	Message string              `json:"message"`
+	Result  *cleat.ChangeResult `json:"result,omitempty"`
+}
+
+// Settings is the answer to a listing.
+type Settings struct {
+	Revision cleat.Revision  `json:"revision"`
+	Settings []cleat.Setting `json:"settings"`
+}
+
+// Watch is what changed between two revisions.
+type Watch struct {
+	From    cleat.Revision  `json:"from"`
+	To      cleat.Revision  `json:"to"`
+	Whole   bool            `json:"whole"` // The changes are no longer known; this is all there is.
+	Written []cleat.Setting `json:"written"`
+	Deleted []string        `json:"deleted"`
+}
+
+// History lists accepted changes, newest first.
+type History struct {
+	Entries []config.HistoryEntry `json:"entries"`
+}
+
+// Tokens lists tokens without their secrets.
+type Tokens struct {
+	Tokens []config.Token `json:"tokens"`
+}
+
+// TokenChange creates or revokes a token; the secret stays with the client.
+type TokenChange struct {
+	Operation string        `json:"operation"`
+	Create    *config.Token `json:"create,omitempty"`
+	Hash      string        `json:"hash,omitempty"` // SHA-256 of the new secret, in hex.
+	Revoke    string        `json:"revoke,omitempty"`
+}
+
+// FleetStatus is the state of the fleet.
+type FleetStatus struct {
+	Revision    cleat.Revision     `json:"revision"`
+	Leader      cleat.InstanceID   `json:"leader"`
+	Unreachable []cleat.InstanceID `json:"unreachable,omitempty"` // Control instances whose nodes are missing here.
+	Nodes       []Node             `json:"nodes"`
+	Laggards    int                `json:"laggards"` // Nodes that run an older revision.
+	Orders      []cleat.Order      `json:"orders,omitempty"`
+	Violations  uint64             `json:"violations"` // Of invariants, in this control instance.
+}
+
+// Node is one instance that registered.
+type Node struct {
+	Instance    cleat.InstanceID       `json:"instance"`
+	Incarnation cleat.Incarnation      `json:"incarnation"`
+	Role        cleat.Role             `json:"role"`
+	Domain      cleat.DomainID         `json:"domain"`
+	Address     string                 `json:"address"`
+	Control     cleat.InstanceID       `json:"control"` // Where it registers.
+	Revision    cleat.Revision         `json:"revision"`
+	Lags        bool                   `json:"lags"`
+	Suspected   bool                   `json:"suspected"`
+	Leaving     bool                   `json:"leaving"`
+	Silent      float64                `json:"silent_s"`
+	Upstreams   []cleat.HostedUpstream `json:"upstreams,omitempty"`
+}
+
+// WorkspaceStatus is the state of one workspace over the whole fleet.
+type WorkspaceStatus struct {
+	Workspace cleat.WorkspaceID       `json:"workspace"`
+	Share     float64                 `json:"share"`
+	Service   float64                 `json:"service"` // Cost units received, divided by the share.
+	Gap       float64                 `json:"gap"`     // Behind the best served backlogged workspace, in the same unit.
+	Waiting   uint64                  `json:"waiting"`
+	Running   uint64                  `json:"running"`
+	Served    uint64                  `json:"served"`
+	Refused   map[cleat.Reason]uint64 `json:"refused"`
+	Reporting int                     `json:"reporting"` // Instances whose numbers are counted.
+}
+
+// Replica is one member of the replicated log.
+type Replica struct {
+	Instance cleat.InstanceID `json:"instance"`
+	Replica  string           `json:"replica"`
+	Learner  bool             `json:"learner"`
+	Match    uint64           `json:"match,omitempty"`   // Synced up to here; only from the leader.
+	Quiet    float64          `json:"quiet_s,omitempty"` // Since the leader heard it.
+}
+
+// Control is the state of the replicated log as one control instance sees it.
+type Control struct {
+	Instance   cleat.InstanceID `json:"instance"`
+	Duty       string           `json:"duty"`
+	Term       uint64           `json:"term"`
+	Leader     cleat.InstanceID `json:"leader"`
+	Commit     uint64           `json:"commit"`
+	Applied    uint64           `json:"applied"`
+	Snapshot   uint64           `json:"snapshot"`
+	Lease      bool             `json:"lease"`
+	DiskError  string           `json:"disk_error,omitempty"`
+	Replicas   []Replica        `json:"replicas"`
+	Candidates []Replica        `json:"candidates"` // Announced themselves and are no members.
+	Claims     int              `json:"claims"`
+	Settings   cleat.Revision   `json:"settings"`
+	At         time.Time        `json:"at"`
+}
+
+// ReplicaChange changes the members of the replicated log.
+type ReplicaChange struct {
+	Action   cleat.ReplicaAction `json:"action"`
+	Instance cleat.InstanceID    `json:"instance"`
+}
--- a/config/path.go
+++ b/config/path.go
@@ -20,6 +20,7 @@
 	KindLimits      Kind = "limits"
 	KindPlacement   Kind = "placement"
 	KindWeightStore Kind = "weight_store"
+	KindUpstream    Kind = "upstream"
 )
 
 // MaxNameBytes bounds each name inside a path.
@@ -89,6 +90,8 @@
 		return Path{kind: KindRule, name: name}, true
 	case "classes":
 		return Path{kind: KindClass, name: name}, true
+	case "upstreams":
+		return Path{kind: KindUpstream, name: name}, true
 	case "placement":
 		return Path{kind: KindPlacement, name: name}, true
 	}
--- a/config/value.go
+++ b/config/value.go
@@ -80,6 +80,26 @@
 	return nil
 }
 
+// Upstream is what one upstream shall load and do, whatever the demand, stored
+// at /fleet/upstreams/<upstream>.
+type Upstream struct {
+	Model    cleat.ModelID `json:"model"`
+	Version  string        `json:"version"`
+	Adapters []string      `json:"adapters"`
+	Role     string        `json:"role"`
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (u *Upstream) Validate() error {
+	if u.Model == "" && u.Role == "" {
+		return trace.BadParameter("Upstream.Validate: model or role must be given")
+	}
+	if u.Model == "" && (u.Version != "" || len(u.Adapters) > 0) {
+		return trace.BadParameter("Upstream.Validate: version and adapters need a model")
+	}
+	return nil
+}
+
 type document interface {
 	Validate() error
 }
@@ -104,6 +124,8 @@
 		return new(Placement)
 	case KindWeightStore:
 		return new(WeightStore)
+	case KindUpstream:
+		return new(Upstream)
 	}
 	return nil
 }
--- a/config/value_test.go
+++ b/config/value_test.go
@@ -30,6 +30,8 @@
 		"a placement":             {"/fleet/placement/catalogue", `{"min":1,"max":3}`, ""},
 		"a placement upside down": {"/fleet/placement/catalogue", `{"min":3,"max":1}`, "max"},
 		"a weight store":          {"/fleet/weight_store", `{"loads_per_minute":3}`, ""},
+		"an upstream":             {"/fleet/upstreams/engine-1", `{"model":"catalogue","adapters":["show"]}`, ""},
+		"an adapter, no model":    {"/fleet/upstreams/engine-1", `{"role":"prefill","adapters":["show"]}`, "need a model"},
 		"two values":              {"/fleet/limits", `{} {}`, "more than one"},
 		"no JSON":                 {"/fleet/limits", `nonsense`, "invalid"},
 		"an unknown path":         {"/fleet/nonsense", `{}`, "no setting"},
--- a/control.go
+++ b/control.go
@@ -17,6 +17,30 @@
 	Demand    []ModelDemand    `msgpack:"d,omitempty"` // Of an entry, for placement.
 }
 
+// ReplicaAction names a change of the replicated log's members.
+type ReplicaAction string
+
+// The changes of the replicated log's members.
+const (
+	ReplicaAdd     ReplicaAction = "add"     // Adds the instance's new replica, first without a vote.
+	ReplicaRemove  ReplicaAction = "remove"  // Removes all replicas of the instance.
+	ReplicaReplace ReplicaAction = "replace" // Puts the instance's new replica in place of its lost one.
+)
+
+// ReplicaChange asks the leader to change the replicated log's members.
+type ReplicaChange struct {
+	Call     uint64        `msgpack:"n"` // Matches the result to the call.
+	Action   ReplicaAction `msgpack:"a"`
+	Instance InstanceID    `msgpack:"i"`
+}
+
+// ReplicaChanged answers a ReplicaChange.
+type ReplicaChanged struct {
+	Call    uint64 `msgpack:"n"`
+	Problem string `msgpack:"p,omitempty"` // Empty when the change is committed.
+	Unknown bool   `msgpack:"u,omitempty"` // The change may still be committed.
+}
+
 // HostedUpstream is one of an agent's upstreams as its registration names it.
 type HostedUpstream struct {
 	Upstream UpstreamID   `msgpack:"u"`
--- /dev/null
+++ b/ctrl/address.go
@@ -0,0 +1,148 @@
+package ctrl
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat/wire"
+)
+
+// Files in the data folder besides the log's.
+const (
+	listenFile    = "listen.addr"
+	httpFile      = "http.addr"
+	rootTokenFile = "root-token"
+)
+
+// bind takes the addresses; with port 0 those of the last start, if they are
+// still free, so that other instances find this one again.
+func (r *Role) bind() error {
+	var err error
+	r.server, err = bindAgain(r.cfg.Listen, r.file(listenFile), func(addr string) (*wire.Server, string, error) {
+		s, err := wire.Listen(r.cfg.Wire, addr, r.identity, r, r.log)
+		if err != nil {
+			return nil, "", err
+		}
+		return s, s.Addr(), nil
+	})
+	if err != nil {
+		return trace.Wrap(err, "Role.bind")
+	}
+	r.self.Address = r.server.Addr()
+	r.http, err = bindAgain(r.cfg.HTTP, r.file(httpFile), func(addr string) (net.Listener, string, error) {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return nil, "", err
+		}
+		return l, l.Addr().String(), nil
+	})
+	if err != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		return trace.NewAggregate(err, r.server.Shutdown(ctx))
+	}
+	return nil
+}
+
+func bindAgain[T any](addr, file string, listen func(addr string) (T, string, error)) (T, error) {
+	if last, ok := lastAddress(addr, file); ok {
+		if t, _, err := listen(last); err == nil {
+			return t, nil
+		}
+	}
+	t, bound, err := listen(addr)
+	if err != nil {
+		return t, err
+	}
+	return t, trace.ConvertSystemError(os.WriteFile(file, []byte(bound+"\n"), 0o644))
+}
+
+// lastAddress returns the address of the last start when addr leaves the port open.
+func lastAddress(addr, file string) (string, bool) {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || port != "0" {
+		return "", false
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return "", false
+	}
+	last := strings.TrimSpace(string(b))
+	lastHost, _, err := net.SplitHostPort(last)
+	return last, err == nil && lastHost == host
+}
+
+func (r *Role) file(name string) string {
+	return filepath.Join(r.cfg.DataFolder, name)
+}
+
+// dialLoop keeps links to the other control instances, also to those that the
+// control file names later.
+func (r *Role) dialLoop(ctx context.Context) error {
+	for _, addr := range r.cfg.Controls {
+		r.dial(addr)
+	}
+	known := make(map[string]bool)
+	for {
+		r.dialFile(known)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(DefaultControlFileCheck):
+		}
+	}
+}
+
+func (r *Role) dial(addr string) {
+	if addr != r.self.Address {
+		r.dialer.Keep(addr)
+	}
+}
+
+// dialFile follows the control file; while it can't be read, links stay.
+func (r *Role) dialFile(known map[string]bool) {
+	if r.cfg.ControlFile == "" {
+		return
+	}
+	addrs, err := readAddresses(r.cfg.ControlFile)
+	if err != nil {
+		r.log.Debug("control file not read", "err", err)
+		return
+	}
+	for addr := range known {
+		if !addrs[addr] {
+			r.dialer.Drop(addr)
+			delete(known, addr)
+		}
+	}
+	for addr := range addrs {
+		if !known[addr] {
+			known[addr] = true
+			r.dial(addr)
+		}
+	}
+}
+
+func readAddresses(name string) (map[string]bool, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer f.Close()
+	addrs := make(map[string]bool)
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		addr := strings.TrimSpace(lines.Text())
+		if _, _, err := net.SplitHostPort(addr); err == nil {
+			addrs[addr] = true
+		}
+	}
+	return addrs, trace.Wrap(lines.Err())
+}
--- /dev/null
+++ b/ctrl/config.go
@@ -0,0 +1,102 @@
+package ctrl
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/member"
+	"marigoldcleat.example/cleat/order"
+	"marigoldcleat.example/cleat/wire"
+)
+
+// Defaults of Config.
+const (
+	DefaultPushInterval     = 50 * time.Millisecond
+	DefaultMemberInterval   = 200 * time.Millisecond
+	DefaultSumsInterval     = 500 * time.Millisecond
+	DefaultConfirmInterval  = time.Second
+	DefaultOrderInterval    = time.Second
+	DefaultClaimTimeout     = 2 * time.Second
+	DefaultChangeTimeout    = 5 * time.Second
+	DefaultHolderLostAfter  = 30 * time.Second
+	DefaultClaimTick        = time.Minute
+	DefaultControlFileCheck = time.Second
+	MaxClaimsInFlight       = 4096
+	MaxBodyBytes            = 4 << 20 // Of one call to the operators' API.
+)
+
+// Config sets up one control instance.
+type Config struct {
+	ID          cleat.InstanceID
+	Domain      cleat.DomainID
+	Listen      string             // For links, as host:port; port 0 takes the port of the last start, else a free one.
+	HTTP        string             // For operators, as host:port; port 0 as for Listen.
+	DataFolder  string             // Where the log and the addresses are kept.
+	Controls    []string           // Link addresses of the other control instances, as host:port.
+	ControlFile string             // File with further link addresses, one a line, read again while running.
+	First       []cleat.InstanceID // The instances that form a new log together; empty to join one.
+	Join        []cleat.InstanceID // The instances of the log to join.
+	Wire        wire.Config
+	Member      member.Config
+	Order       order.Config
+
+	PushInterval    time.Duration // Between checks for settings to send to nodes.
+	MemberInterval  time.Duration // Between batches of membership changes.
+	SumsInterval    time.Duration // Between sums of the ledger to an agent.
+	ConfirmInterval time.Duration // Between confirmed reads that tell nodes of a quorum.
+	OrderInterval   time.Duration // Between decisions on orders.
+	ClaimTimeout    time.Duration
+	ChangeTimeout   time.Duration
+	HolderLostAfter time.Duration // Absence of an entry until its claims are in doubt.
+	ClaimTick       time.Duration // Between commands that move the claims' time.
+}
+
+// Defaults sets what was left out.
+func (c *Config) Defaults() {
+	c.Wire.Defaults()
+	c.Member.Defaults()
+	c.Order.Defaults()
+	setDefault(&c.PushInterval, DefaultPushInterval)
+	setDefault(&c.MemberInterval, DefaultMemberInterval)
+	setDefault(&c.SumsInterval, DefaultSumsInterval)
+	setDefault(&c.ConfirmInterval, DefaultConfirmInterval)
+	setDefault(&c.OrderInterval, DefaultOrderInterval)
+	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
+	setDefault(&c.ChangeTimeout, DefaultChangeTimeout)
+	setDefault(&c.HolderLostAfter, DefaultHolderLostAfter)
+	setDefault(&c.ClaimTick, DefaultClaimTick)
+	if len(c.First) == 0 && len(c.Join) == 0 && len(c.Controls) == 0 && c.ControlFile == "" {
+		c.First = []cleat.InstanceID{c.ID}
+	}
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Validate returns a trace.BadParameter error that names the first wrong field.
+func (c *Config) Validate() error {
+	if c.ID == "" {
+		return trace.BadParameter("Config.Validate: the instance needs a name")
+	}
+	if c.DataFolder == "" {
+		return trace.BadParameter("Config.Validate: the instance needs a data folder")
+	}
+	if len(c.First) == 0 && len(c.Join) == 0 {
+		return trace.BadParameter("Config.Validate: name the first instances of a new log or the instances to join")
+	}
+	if len(c.First) > 0 && len(c.Join) > 0 {
+		return trace.BadParameter("Config.Validate: an instance either forms a new log or joins one")
+	}
+	if err := c.Wire.Validate(); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := c.Member.Validate(); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(c.Order.Validate())
+}
--- /dev/null
+++ b/ctrl/role.go
@@ -0,0 +1,217 @@
+package ctrl
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/ledger"
+	"marigoldcleat.example/cleat/member"
+	"marigoldcleat.example/cleat/order"
+	"marigoldcleat.example/cleat/quorum"
+	"marigoldcleat.example/cleat/store"
+	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/wire"
+)
+
+const shutdownTimeout = 5 * time.Second
+
+// Role is one control instance.
+type Role struct {
+	cfg     Config
+	clock   cleat.Clock
+	log     *log.Logger
+	self    cleat.Peer
+	machine *Machine
+	host    *quorum.Host
+	server  *wire.Server
+	dialer  *wire.Dialer
+	http    net.Listener
+	echo    *echo.Echo
+	health  *telem.Health
+	metrics *telem.Metrics
+	ctx     context.Context // Done when the role ends.
+	cancel  context.CancelFunc
+	claims  chan struct{} // A slot for each claim in flight.
+
+	mu      sync.Mutex
+	members *member.Table
+	relay   *ledger.Relay
+	orders  *order.Table
+	nodes   map[cleat.InstanceID]*nodeLink
+	peers   map[cleat.InstanceID]*peerLinks
+	calls   map[uint64]chan cleat.Message // Calls to other control instances.
+	call    uint64
+}
+
+// nodeLink is the newest link of a node.
+type nodeLink struct {
+	link       cleat.Link
+	registered bool
+	sent       cleat.Revision // Settings sent on this link so far.
+	receiver   member.Receiver
+}
+
+// peerLinks are the links to another control instance; both sides dial.
+type peerLinks struct {
+	links  []cleat.Link
+	cursor member.Cursor
+}
+
+var (
+	_ cleat.LinkHandler = (*Role)(nil)
+	_ quorum.Transport  = (*Role)(nil)
+	_ telem.Daemon      = (*Role)(nil)
+)
+
+// Open opens the data folder and binds the addresses; Run then serves.
+func Open(cfg Config, logger *log.Logger) (*Role, error) {
+	cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, trace.Wrap(err, "Open")
+	}
+	clock := cleat.SystemClock{}
+	now := clock.Now()
+	self := cleat.Peer{Instance: cfg.ID, Incarnation: cleat.NewIncarnation(now), Role: cleat.RoleControl, Domain: cfg.Domain}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Role{
+		cfg: cfg, clock: clock, log: logger, self: self,
+		machine: NewMachine(clock),
+		metrics: telem.NewMetrics(cleat.RoleControl, logger),
+		ctx:     ctx, cancel: cancel,
+		claims:  make(chan struct{}, MaxClaimsInFlight),
+		members: member.New(cfg.Member, now),
+		relay:   ledger.NewRelay(self),
+		orders:  order.New(cfg.Order),
+		nodes:   make(map[cleat.InstanceID]*nodeLink),
+		peers:   make(map[cleat.InstanceID]*peerLinks),
+		calls:   make(map[uint64]chan cleat.Message),
+	}
+	if err := r.open(); err != nil {
+		cancel()
+		return nil, trace.Wrap(err, "Open")
+	}
+	return r, nil
+}
+
+func (r *Role) open() error {
+	disk, err := store.NewFolder(r.cfg.DataFolder)
+	if err != nil {
+		return err
+	}
+	qcfg := quorum.Config{Self: r.cfg.ID, First: r.cfg.First, Peers: r.cfg.Join, MaxCommandBytes: maxCommandBytes}
+	r.host, err = quorum.Open(qcfg, disk, r.machine, r, r.clock, rand.New(rand.NewSource(randomSeed())), r.log)
+	if err != nil {
+		return err
+	}
+	if err := r.bind(); err != nil {
+		return trace.NewAggregate(err, r.closeHost())
+	}
+	r.dialer = wire.NewDialer(r.cfg.Wire, r.identity, r, r.log)
+	r.health = telem.NewHealth(r.ready)
+	r.echo = r.newAPI()
+	return nil
+}
+
+// maxCommandBytes leaves room for the largest change with its paths encoded.
+const maxCommandBytes = 3 << 20
+
+// closeHost releases the data folder of a host that never ran.
+func (r *Role) closeHost() error {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	return r.host.Run(ended)
+}
+
+func randomSeed() int64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // It never fails.
+	return int64(binary.LittleEndian.Uint64(b[:]))
+}
+
+func (r *Role) identity() cleat.Peer { return r.self }
+
+// Addr returns the bound address for links, as host:port.
+func (r *Role) Addr() string { return r.server.Addr() }
+
+// HTTPAddr returns the bound address for operators, as host:port.
+func (r *Role) HTTPAddr() string { return r.http.Addr().String() }
+
+// Run serves until Drain or Close.
+func (r *Role) Run() error {
+	var g run.Group
+	r.add(&g, r.host.Run)
+	r.add(&g, r.pushLoop)
+	r.add(&g, r.memberLoop)
+	r.add(&g, r.sumsLoop)
+	r.add(&g, r.confirmLoop)
+	r.add(&g, r.leaderLoop)
+	r.add(&g, r.dialLoop)
+	r.add(&g, r.rootTokenLoop)
+	r.addServers(&g)
+	return trace.Wrap(g.Run(), "Role.Run")
+}
+
+// add runs a worker that ends with the role's context.
+func (r *Role) add(g *run.Group, worker func(ctx context.Context) error) {
+	g.Add(func() error { return worker(r.ctx) }, func(error) { r.cancel() })
+}
+
+func (r *Role) addServers(g *run.Group) {
+	g.Add(r.server.Serve, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if err := r.server.Shutdown(ctx); err != nil {
+			r.log.Warn("links cut off", "err", err)
+		}
+		r.dialer.Close()
+	})
+	srv := &http.Server{Handler: r.echo, ReadHeaderTimeout: shutdownTimeout}
+	g.Add(func() error {
+		if err := srv.Serve(r.http); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if err := srv.Shutdown(ctx); err != nil {
+			r.log.Warn("operators cut off", "err", err)
+		}
+	})
+}
+
+// Drain hands leadership over and ends Run.
+func (r *Role) Drain() {
+	r.health.Drain()
+	r.cancel()
+}
+
+// Close ends Run at once.
+func (r *Role) Close() { r.cancel() }
+
+// Abandoned says what a Close now would cut off.
+func (r *Role) Abandoned() string {
+	return fmt.Sprintf("%d claims in flight", len(r.claims))
+}
+
+// ready reports whether a leader is known, without which nothing is accepted.
+func (r *Role) ready() (bool, string) {
+	if _, ok := r.host.Leader(); !ok {
+		return false, "no leader is known"
+	}
+	return true, ""
+}
--- a/message.go
+++ b/message.go
@@ -41,6 +41,8 @@
 	KindPing
 	KindStatusRead
 	KindStatusReport
+	KindReplicaChange
+	KindReplicaChanged
 )
 
 // Stream identifies requests that are interchangeable to a picker: one
