--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,287 @@
+package agent_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/agent"
+	"marigoldcleat.example/cleat/fakes"
+	"marigoldcleat.example/cleat/wire"
+)
+
+// wholeStream checks that text is a stream of n tokens with none missing or doubled.
+func wholeStream(text []byte, n int) {
+	GinkgoHelper()
+	for i := range n {
+		Expect(bytes.Count(text, []byte(`"`+fakes.Token(i)+` "`))).To(Equal(1), "token %d", i)
+	}
+	Expect(string(text)).To(HaveSuffix("data: [DONE]\n\n"))
+}
+
+var _ = Describe("Agent", func() {
+	It("runs a request and settles its usage", func() {
+		a := startAgent(nil)
+		engine := startEngine(a, nil)
+		e := startEntry(a, 1)
+		attempt := e.dispatch("r1", modelStream(), nil)
+		Eventually(e.over(attempt), patience).Should(BeTrue())
+		got := e.got(attempt)
+		wholeStream(got.text, 8)
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.outcome.Kind).To(Equal(cleat.OutcomeDone))
+		Expect(got.outcome.Usage.OutputTokens).To(BeEquivalentTo(8))
+		Expect(engine.Stats().Started).To(Equal(1))
+		Eventually(a.Running, patience).Should(BeZero())
+	})
+
+	It("counts the usage of a whole answer and takes a body in pieces", func() {
+		a := startAgent(nil)
+		startEngine(a, nil)
+		e := startEntry(a, 1)
+		body := strings.Replace(chatBody(9), `"stream":true`, `"stream":false`, 1)
+		body = strings.Replace(body, "hi", strings.Repeat("x", 3*wire.MaxDataBytes), 1)
+		attempt := e.dispatch("r1", modelStream(), func(d *cleat.Dispatch) {
+			d.Body, d.BodyMore = []byte(body[:10]), true
+		})
+		e.send(&cleat.Body{Attempt: attempt, Offset: 10, Data: []byte(body[10 : 10+wire.MaxDataBytes]), More: true})
+		e.send(&cleat.Body{Attempt: attempt, Offset: 10, Data: []byte(body[10 : 10+wire.MaxDataBytes]), More: true})
+		e.send(&cleat.Body{Attempt: attempt, Offset: 10 + wire.MaxDataBytes, Data: []byte(body[10+wire.MaxDataBytes:])})
+		Eventually(e.over(attempt), patience).Should(BeTrue())
+		got := e.got(attempt)
+		Expect(got.outcome.Kind).To(Equal(cleat.OutcomeDone))
+		Expect(got.outcome.Usage.OutputTokens).To(BeEquivalentTo(9))
+		Expect(got.outcome.Usage.InputTokens).To(BeNumerically(">", 3*wire.MaxDataBytes/8))
+	})
+
+	It("delivers a whole answer over a link that is cut again and again", func() {
+		a := startAgent(nil)
+		startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
+		e := startEntry(a, 1)
+		attempt := e.dispatch("r1", modelStream(), func(d *cleat.Dispatch) { d.Body = []byte(chatBody(400)) })
+		for n := 50; n <= 350; n += 100 {
+			mark := []byte(fakes.Token(n))
+			Eventually(func() bool { return bytes.Contains(e.got(attempt).text, mark) }, patience).Should(BeTrue())
+			e.cut()
+		}
+		Eventually(e.over(attempt), patience).Should(BeTrue())
+		wholeStream(e.got(attempt).text, 400)
+		Expect(e.got(attempt).outcome.Kind).To(Equal(cleat.OutcomeDone))
+	})
+
+	It("survives late, crossed and doubled messages", func() {
+		a := startAgent(nil)
+		startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
+		e := startEntry(a, 1)
+		var sent cleat.Dispatch
+		attempt := e.dispatch("r1", modelStream(), func(d *cleat.Dispatch) {
+			d.Body = []byte(chatBody(100))
+			sent = *d
+		})
+		e.send(&sent)
+		Eventually(func() int { return len(e.got(attempt).text) }, patience).Should(BeNumerically(">", 500))
+		e.send(&cleat.PartAck{Attempt: attempt, Offset: 1})
+		e.send(&cleat.PartAck{Attempt: attempt, Offset: 1 << 40, Done: true})
+		e.send(&cleat.Body{Attempt: attempt, Offset: 3, Data: []byte("late")})
+		e.send(&cleat.Resume{Attempt: cleat.Attempt{Request: "unknown", Number: 1}})
+		Eventually(e.over(attempt), patience).Should(BeTrue())
+		wholeStream(e.got(attempt).text, 100)
+		Expect(e.got(cleat.Attempt{Request: "unknown", Number: 1}).refused.Ran).To(Equal(cleat.RanNo))
+	})
+
+	It("holds no more of an answer than its bound and goes on once acknowledged", func() {
+		const bound = 64 << 10
+		a := startAgent(func(c *agent.Config) { c.BufferBytes = bound })
+		startEngine(a, nil)
+		e := startEntry(a, 1)
+		e.noAck = true
+		attempt := e.dispatch("r1", modelStream(), func(d *cleat.Dispatch) { d.Body = []byte(chatBody(3000)) })
+		Eventually(func() int { return len(e.got(attempt).text) }, patience).Should(BeNumerically(">", bound/2))
+		Consistently(func() int { return len(e.got(attempt).text) }, 200*time.Millisecond).Should(BeNumerically("<=", bound))
+		for !e.over(attempt)() {
+			e.send(&cleat.PartAck{Attempt: attempt, Offset: uint64(len(e.got(attempt).text))})
+			time.Sleep(time.Millisecond)
+		}
+		wholeStream(e.got(attempt).text, 3000)
+		e.send(&cleat.PartAck{Attempt: attempt, Offset: uint64(len(e.got(attempt).text)), Done: true})
+		Eventually(a.Running, patience).Should(BeZero())
+	})
+
+	It("refuses to resume from what it no longer holds", func() {
+		a := startAgent(nil)
+		startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
+		e := startEntry(a, 1)
+		attempt := e.dispatch("r1", modelStream(), func(d *cleat.Dispatch) { d.Body = []byte(chatBody(10000)) })
+		Eventually(func() int { return len(e.got(attempt).text) }, patience).Should(BeNumerically(">", 1000))
+		e.send(&cleat.Resume{Attempt: attempt, Offset: 1})
+		Eventually(e.over(attempt), patience).Should(BeTrue())
+		Expect(e.got(attempt).refused).To(HaveField("Ran", cleat.RanUnknown))
+	})
+
+	It("cancels a repeatable run when its caller goes away", func() {
+		a := startAgent(nil)
+		engine := startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
+		e := startEntry(a, 1)
+		attempt := e.dispatch("r1", modelStream(), func(d *cleat.Dispatch) { d.Body = []byte(chatBody(100000)) })
+		Eventually(engine.Running, patience).Should(Equal(1))
+		e.send(&cleat.Cancel{Attempt: attempt})
+		Eventually(engine.Running, patience).Should(BeZero())
+		Eventually(e.over(attempt), patience).Should(BeTrue())
+		Expect(e.got(attempt).outcome.Kind).To(Equal(cleat.OutcomeCanceled))
+		Expect(e.got(attempt).outcome.Usage.OutputTokens).To(BeNumerically("<", 100000))
+	})
+
+	It("lets go of repeatable runs and finishes non-repeatable ones when the entry stays away", func() {
+		a := startAgent(func(c *agent.Config) { c.ResumeGrace = 100 * time.Millisecond })
+		engine := startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
+		plain := startPlain(a)
+		release := plain.Hold()
+		defer release()
+		e := startEntry(a, 1)
+		e.dispatch("r1", modelStream(), func(d *cleat.Dispatch) { d.Body = []byte(chatBody(100000)) })
+		e.dispatch("r2", plainStream(), action)
+		Eventually(plain.Total, patience).Should(Equal(1))
+		Eventually(engine.Running, patience).Should(Equal(1))
+		e.dialer.Close()
+		Eventually(engine.Running, patience).Should(BeZero())
+		Eventually(a.Running, patience).Should(Equal(1))
+		release()
+		Eventually(a.Running, patience).Should(BeZero())
+		Expect(plain.Total()).To(Equal(1))
+	})
+
+	It("lets go of the runs of an entry's earlier life at once", func() {
+		a := startAgent(nil)
+		engine := startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
+		e := startEntry(a, 1)
+		e.dispatch("r1", modelStream(), func(d *cleat.Dispatch) { d.Body = []byte(chatBody(100000)) })
+		Eventually(engine.Running, patience).Should(Equal(1))
+		e.dialer.Close()
+		startEntry(a, 2)
+		Eventually(engine.Running, patience).Should(BeZero())
+	})
+
+	stale := map[string]func(d *cleat.Dispatch){
+		"a grant of another incarnation": func(d *cleat.Dispatch) { d.Incarnation-- },
+		"an unknown grant":               func(d *cleat.Dispatch) { d.Grant += 1000 },
+	}
+	for name, change := range stale {
+		It("refuses as not run "+name, func() {
+			a := startAgent(nil)
+			plain := startPlain(a)
+			e := startEntry(a, 1)
+			attempt := e.dispatch("r1", plainStream(), func(d *cleat.Dispatch) {
+				action(d)
+				change(d)
+			})
+			Eventually(e.over(attempt), patience).Should(BeTrue())
+			Expect(e.got(attempt).refused).To(HaveField("Ran", cleat.RanNo))
+			Expect(plain.Total()).To(BeZero())
+		})
+	}
+
+	It("runs a non-repeatable request once however often it is sent", func() {
+		a := startAgent(nil)
+		plain := startPlain(a)
+		e := startEntry(a, 1)
+		var sent cleat.Dispatch
+		attempt := e.dispatch("r1", plainStream(), func(d *cleat.Dispatch) {
+			action(d)
+			sent = *d
+		})
+		e.send(&sent)
+		Eventually(e.over(attempt), patience).Should(BeTrue())
+		Eventually(a.Running, patience).Should(BeZero())
+		e.send(&sent)
+		g, _ := e.grant(plainStream())
+		sent.Grant = g.ID
+		e.send(&sent)
+		Eventually(func() *cleat.Refused { return e.got(attempt).refused }, patience).ShouldNot(BeNil())
+		Expect(e.got(attempt).refused.Ran).To(Equal(cleat.RanYes))
+		Expect(plain.Total()).To(Equal(1))
+	})
+
+	It("never starts an attempt that was asked for before it came", func() {
+		a := startAgent(nil)
+		plain := startPlain(a)
+		e := startEntry(a, 1)
+		attempt := e.dispatch("r1", plainStream(), func(d *cleat.Dispatch) {
+			action(d)
+			e.send(&cleat.Cancel{Attempt: d.Attempt})
+		})
+		Eventually(e.over(attempt), patience).Should(BeTrue())
+		Expect(e.got(attempt).refused).To(HaveField("Ran", cleat.RanNo))
+		Expect(plain.Total()).To(BeZero())
+	})
+
+	It("drains: running answers are delivered, new work is refused, then it ends", func() {
+		a := startAgent(nil)
+		startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
+		e := startEntry(a, 1)
+		var attempts []cleat.Attempt
+		for i := range 4 {
+			attempts = append(attempts, e.dispatch(fmt.Sprint("r", i), modelStream(), func(d *cleat.Dispatch) { d.Body = []byte(chatBody(300)) }))
+		}
+		Eventually(func() int { return len(e.got(attempts[3]).text) }, patience).Should(BeNumerically(">", 0))
+		a.Drain()
+		Expect(a.Abandoned()).To(ContainSubstring("ring/desk"))
+		Eventually(a.ended, patience).Should(Receive(BeNil()))
+		for _, attempt := range attempts {
+			Expect(e.got(attempt).ended).To(BeTrue())
+			wholeStream(e.got(attempt).text, 300)
+		}
+	})
+
+	It("reports an upstream that leaves or falls silent as gone", func() {
+		a := startAgent(func(c *agent.Config) { c.Slots.UpstreamTimeout = 500 * time.Millisecond })
+		engine := startEngine(a, nil)
+		e := startEntry(a, 1)
+		upstreams := func() []cleat.UpstreamState {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.state == nil {
+				return nil
+			}
+			return e.state.Upstreams
+		}
+		Eventually(upstreams, patience).Should(ConsistOf(HaveField("Leaving", false)))
+		engine.Leave()
+		Eventually(upstreams, patience).Should(ConsistOf(HaveField("Leaving", true)))
+		engine.Close()
+		Eventually(upstreams, patience).Should(BeEmpty())
+	})
+
+	It("refuses links from anyone but entries", func() {
+		a := startAgent(nil)
+		e := &entry{peer: cleat.Peer{Instance: "x", Incarnation: 1, Role: cleat.RoleAgent}, answers: map[cleat.Attempt]*answer{}}
+		e.dialer = wire.NewDialer(linkConfig(), func() cleat.Peer { return e.peer }, e, quiet())
+		DeferCleanup(e.dialer.Close)
+		e.dialer.Keep(a.Addr())
+		Eventually(e.closed, patience).Should(BeNumerically(">=", 1))
+	})
+
+	announcements := map[string]struct {
+		body   string
+		status int
+	}{
+		"one without a kind":     {`{"upstream":"u","models":["m"],"address":"127.0.0.1:1"}`, http.StatusBadRequest},
+		"one without an address": {`{"upstream":"u","models":["m"],"kind":"model"}`, http.StatusBadRequest},
+		"garbage":                {`{`, http.StatusBadRequest},
+		"a whole one":            {`{"upstream":"u","models":["m"],"kind":"model","address":"127.0.0.1:1"}`, http.StatusNoContent},
+	}
+	for name, c := range announcements {
+		It("answers an announcement: "+name, func() {
+			a := startAgent(nil)
+			resp, err := http.Post("http://"+a.HTTPAddr()+cleat.PathAgentAnnounce, "application/json", strings.NewReader(c.body))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(c.status))
+		})
+	}
+})
--- /dev/null
+++ b/agent/engine_test.go
@@ -0,0 +1,256 @@
+package agent_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/agent"
+	"marigoldcleat.example/cleat/fakes"
+)
+
+// collector is an answer sink that keeps everything.
+type collector struct {
+	status int
+	text   []byte
+	used   cleat.Usage
+}
+
+func (c *collector) Start(status int, _ []cleat.HeaderField) error {
+	c.status = status
+	return nil
+}
+
+func (c *collector) Data(b []byte) error {
+	c.text = append(c.text, b...)
+	return nil
+}
+
+func (c *collector) Used(u cleat.Usage) { c.used = u }
+
+const (
+	shortStall = 300 * time.Millisecond
+	orderTime  = 5 * time.Second
+)
+
+var _ = Describe("HTTPEngine", func() {
+	modelCall := func(tokens int) cleat.Call {
+		return cleat.Call{
+			Attempt: cleat.Attempt{Request: "r1", Number: 1}, Kind: cleat.KindModel, Repeatable: true,
+			Method: "POST", Target: cleat.ChatPath, Body: []byte(chatBody(tokens)),
+		}
+	}
+	plainCall := func() cleat.Call {
+		return cleat.Call{
+			Attempt: cleat.Attempt{Request: "r1", Number: 1}, Kind: cleat.KindPlain, Method: "POST", Target: "/pay",
+			Header: []cleat.HeaderField{{Name: cleat.DefaultIdempotencyHeader, Value: "k"}},
+		}
+	}
+	client := func(a cleat.Announcement) *agent.HTTPEngine {
+		e, err := agent.NewHTTPEngine(a, shortStall, orderTime)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(e.Close)
+		return e
+	}
+	engine := func(change func(c *fakes.EngineConfig)) *fakes.Engine {
+		cfg := fakes.EngineConfig{ID: "e1", Models: []cleat.ModelID{"m"}}
+		if change != nil {
+			change(&cfg)
+		}
+		e, err := fakes.StartEngine(cfg)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(e.Close)
+		return e
+	}
+	plain := func() *fakes.Plain {
+		p, err := fakes.StartPlain(fakes.PlainConfig{ID: "p1", Pool: "desk"})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(p.Close)
+		return p
+	}
+	ctx := context.Background()
+
+	It("charges while a stream runs and settles by its usage", func() {
+		var c collector
+		o := client(engine(nil).Announcement()).Run(ctx, modelCall(20), &c)
+		Expect(o.Kind).To(Equal(cleat.OutcomeDone))
+		Expect(o.Usage.OutputTokens).To(BeEquivalentTo(20))
+		Expect(c.used.OutputTokens).To(BeNumerically("<=", 20))
+		wholeStream(c.text, 20)
+	})
+
+	failures := map[string]struct {
+		fault  fakes.Fault
+		resume bool
+		kind   cleat.OutcomeKind
+		begun  bool
+	}{
+		"a reset before the answer":    {fakes.Fault{Kind: fakes.FaultReset}, false, cleat.OutcomeFailed, false},
+		"a reset inside the answer":    {fakes.Fault{Kind: fakes.FaultReset, AfterTokens: 3}, false, cleat.OutcomeFailed, true},
+		"a hang before the answer":     {fakes.Fault{Kind: fakes.FaultHang}, false, cleat.OutcomeFailed, false},
+		"a hang inside the answer":     {fakes.Fault{Kind: fakes.FaultHang, AfterTokens: 3}, false, cleat.OutcomeFailed, true},
+		"garbage for an answer":        {fakes.Fault{Kind: fakes.FaultGarbage}, false, cleat.OutcomeFailed, false},
+		"garbage inside the answer":    {fakes.Fault{Kind: fakes.FaultGarbage, AfterTokens: 3}, false, cleat.OutcomeFailed, true},
+		"half an event at the end":     {fakes.Fault{Kind: fakes.FaultHalfLine, AfterTokens: 3}, false, cleat.OutcomeFailed, true},
+		"an overloaded upstream":       {fakes.Fault{Kind: fakes.FaultStatus}, false, cleat.OutcomeFailed, false},
+		"one reset that is resumed":    {fakes.Fault{Kind: fakes.FaultReset, AfterTokens: 3, Times: 1}, true, cleat.OutcomeDone, true},
+		"resets at every resumption":   {fakes.Fault{Kind: fakes.FaultReset, AfterTokens: 3}, true, cleat.OutcomeFailed, true},
+		"half an event that's resumed": {fakes.Fault{Kind: fakes.FaultHalfLine, AfterTokens: 3, Times: 2}, true, cleat.OutcomeDone, true},
+	}
+	for name, c := range failures {
+		It("tells honestly of "+name, func() {
+			e := engine(func(cfg *fakes.EngineConfig) { cfg.TokenInterval = time.Millisecond })
+			e.SetFault(c.fault)
+			a := e.Announcement()
+			a.CanResume = c.resume
+			var sink collector
+			o := client(a).Run(ctx, modelCall(20), &sink)
+			Expect(o.Kind).To(Equal(c.kind))
+			Expect(len(sink.text) > 0).To(Equal(c.begun))
+			if c.kind == cleat.OutcomeDone {
+				wholeStream(sink.text, 20)
+				Expect(o.Usage.OutputTokens).To(BeEquivalentTo(20))
+				return
+			}
+			Expect(o.Reason).To(Equal(cleat.ReasonUpstream))
+			Expect(sink.text).To(Or(BeEmpty(), HaveSuffix("\n\n")), "only whole events pass")
+		})
+	}
+
+	refused := map[string]cleat.Call{"a model call": modelCall(1), "an action": plainCall()}
+	for name, call := range refused {
+		It("says that "+name+" was not run when no connection was had", func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(l.Close()).To(Succeed())
+			o := client(cleat.Announcement{Address: l.Addr().String()}).Run(ctx, call, &collector{})
+			Expect(o.Kind).To(Equal(cleat.OutcomeNotRun))
+			Expect(o.Usage).To(BeZero())
+		})
+	}
+
+	for _, kind := range []fakes.FaultKind{fakes.FaultReset, fakes.FaultGarbage} {
+		It("sends an action once and does not know whether it ran after "+string(kind), func() {
+			p := plain()
+			e := client(p.Announcement())
+			Expect(e.Run(ctx, plainCall(), &collector{}).Kind).To(Equal(cleat.OutcomeDone))
+			p.SetFault(fakes.Fault{Kind: kind})
+			Expect(e.Run(ctx, plainCall(), &collector{}).Kind).To(Equal(cleat.OutcomeUnknown))
+			Expect(p.Total()).To(Equal(2))
+		})
+	}
+
+	It("passes an action's own failure on", func() {
+		p := plain()
+		p.SetFault(fakes.Fault{Kind: fakes.FaultStatus})
+		var c collector
+		Expect(client(p.Announcement()).Run(ctx, plainCall(), &c).Kind).To(Equal(cleat.OutcomeDone))
+		Expect(c.status).To(Equal(503))
+	})
+
+	It("does not wait for a silent upstream on behalf of a repeatable call only", func() {
+		p := plain()
+		release := p.Hold()
+		defer release()
+		ctx, cancel := context.WithTimeout(ctx, 3*shortStall)
+		defer cancel()
+		o := client(p.Announcement()).Run(ctx, plainCall(), &collector{})
+		Expect(o.Kind).To(Equal(cleat.OutcomeUnknown))
+		Expect(errors.Is(ctx.Err(), context.DeadlineExceeded)).To(BeTrue())
+	})
+
+	It("probes", func() {
+		e := engine(nil)
+		c := client(e.Announcement())
+		Expect(c.Probe(ctx, orderTime)).To(Succeed())
+		e.Close()
+		Expect(c.Probe(ctx, orderTime)).NotTo(Succeed())
+	})
+
+	It("reports an order whose fence the upstream refused", func() {
+		c := client(engine(func(cfg *fakes.EngineConfig) { cfg.Fencing = true }).Announcement())
+		Expect(c.Order(ctx, cleat.Order{ID: 1, Fence: 5})).To(Succeed())
+		Expect(trace.IsCompareFailed(c.Order(ctx, cleat.Order{ID: 2, Fence: 4}))).To(BeTrue())
+	})
+
+	addresses := map[string]bool{"127.0.0.1:80": true, "http://[::1]:80/": true, "https://h": true, "": false, "ftp://h": false, "http://": false}
+	for address, ok := range addresses {
+		It("checks the address "+address, func() {
+			_, err := agent.NewHTTPEngine(cleat.Announcement{Address: address}, shortStall, orderTime)
+			Expect(err == nil).To(Equal(ok))
+		})
+	}
+})
+
+var _ = Describe("Orders", func() {
+	for name, fencing := range map[string]bool{"that checks fencing": true, "that ignores fencing": false} {
+		It("refuses old fencing numbers for an upstream "+name, func() {
+			a := startAgent(nil)
+			e := startEngine(a, func(c *fakes.EngineConfig) { c.Fencing = fencing })
+			order := func(id uint64, fence cleat.Fence) cleat.OrderResult {
+				return a.Order(cleat.Order{ID: id, Fence: fence, Upstream: "e1", Order: cleat.OrderLoadModel, Model: "n"})
+			}
+			Eventually(func() bool { return order(1, 5).Done }, patience).Should(BeTrue())
+			Expect(order(2, 4).Problem).To(ContainSubstring("4"))
+			Expect(order(3, 6).Done).To(BeTrue())
+			Expect(order(3, 6).Done).To(BeTrue(), "resent")
+			Expect(order(1, 5).Done).To(BeTrue(), "resent after a newer one, answered from memory")
+			Expect(e.Orders()).To(HaveLen(2))
+			Expect(a.Order(cleat.Order{Upstream: "nobody"}).Done).To(BeFalse())
+		})
+	}
+
+	It("lets orders to one upstream through one at a time, never an old one after a newer", func() {
+		a := startAgent(nil)
+		e := startEngine(a, nil)
+		Eventually(func() bool { return a.Order(cleat.Order{ID: 1, Fence: 1, Upstream: "e1"}).Done }, patience).Should(BeTrue())
+		var wg sync.WaitGroup
+		for i := range 20 {
+			wg.Go(func() { a.Order(cleat.Order{ID: uint64(i + 2), Fence: cleat.Fence(i % 5), Upstream: "e1"}) })
+		}
+		wg.Wait()
+		last := cleat.Fence(0)
+		for _, o := range e.Orders() {
+			Expect(o.Fence).To(BeNumerically(">=", last))
+			last = o.Fence
+		}
+	})
+})
+
+var _ = Describe("events", func() {
+	It("passes whole events only, however the stream is cut into reads", func() {
+		stream := []byte("id: 7\ndata: {\"delta\":{\"content\":\"a\"}}\n\ndata: {\"delta\":{}}\r\n\r\ndata: {\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":9}}\n\ndata: [DONE]\n\n")
+		for size := 1; size <= len(stream); size++ {
+			s := agent.NewEvents()
+			var passed []byte
+			for rest := stream; len(rest) > 0; {
+				n := min(size, len(rest))
+				whole := s.Feed(rest[:n])
+				Expect(len(whole) == 0 || bytes.HasSuffix(whole, []byte("\n\n")) || bytes.HasSuffix(whole, []byte("\r\n\r\n"))).To(BeTrue())
+				passed = append(passed, whole...)
+				rest = rest[n:]
+			}
+			Expect(passed).To(Equal(stream))
+			Expect(s.Broken()).To(BeFalse())
+			Expect(s.Used()).To(Equal(cleat.Usage{InputTokens: 3, OutputTokens: 9}))
+		}
+	})
+
+	It("passes an endless event on in bounded pieces", func() {
+		s := agent.NewEvents()
+		passed := 0
+		for range 100 {
+			passed += len(s.Feed(make([]byte, 10000)))
+		}
+		Expect(passed).To(BeNumerically(">", 900000))
+		Expect(s.Broken()).To(BeTrue())
+	})
+})
--- a/agent/link.go
+++ b/agent/link.go
@@ -145,7 +145,7 @@
 	}
 	a.mu.Unlock()
 	if r == nil {
-		a.refuse(l, &cleat.Refused{Attempt: m.Attempt, Reason: cleat.ReasonStaleGrant, Ran: ran})
+		a.refuse(l, &cleat.Refused{Attempt: m.Attempt, Reason: cleat.ReasonStaleGrant, Ran: lostAnswer(ran)})
 		return
 	}
 	if !r.resume(l, m.Offset) {
@@ -154,6 +154,15 @@
 	}
 }
 
+// lostAnswer is what an entry is told of an attempt whose answer is gone:
+// RanYes would mean a second copy, which changes nothing for the entry.
+func lostAnswer(ran cleat.Ran) cleat.Ran {
+	if ran == cleat.RanYes {
+		return cleat.RanUnknown
+	}
+	return ran
+}
+
 func (a *Agent) cancel(l cleat.Link, m *cleat.Cancel) {
 	a.mu.Lock()
 	r := a.owned(l, m.Attempt)
--- /dev/null
+++ b/agent/suite_test.go
@@ -0,0 +1,279 @@
+package agent_test
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/agent"
+	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/fakes"
+	"marigoldcleat.example/cleat/wire"
+)
+
+const patience = 20 * time.Second
+
+func TestAgent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "agent")
+}
+
+var _ = BeforeSuite(func() {
+	DeferCleanup(assert.SetHook(func(name, msg string) { panic(name + ": " + msg) }))
+})
+
+func quiet() *log.Logger { return log.New(io.Discard) }
+
+func linkConfig() wire.Config {
+	return wire.Config{
+		Key: []byte("0123456789abcdef"), PingInterval: 50 * time.Millisecond, PeerTimeout: 2 * time.Second,
+		MinBackoff: time.Millisecond, MaxBackoff: 20 * time.Millisecond,
+	}
+}
+
+// running is an agent under test.
+type running struct {
+	*agent.Agent
+	ended chan error
+}
+
+func startAgent(change func(c *agent.Config)) *running {
+	cfg := agent.Config{
+		Peer: cleat.Peer{Instance: "agent1", Incarnation: cleat.NewIncarnation(time.Now()), Role: cleat.RoleAgent, Domain: "d1"},
+		Wire: linkConfig(),
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	a, err := agent.New(cfg, cleat.SystemClock{}, quiet())
+	Expect(err).NotTo(HaveOccurred())
+	r := &running{Agent: a, ended: make(chan error, 1)}
+	go func() { r.ended <- a.Run() }()
+	DeferCleanup(a.Close)
+	return r
+}
+
+// entry is a minimal entry: it offers one request at a time, dispatches it when
+// granted, and puts its answer together by offsets.
+type entry struct {
+	peer   cleat.Peer
+	dialer *wire.Dialer
+	noAck  bool // Leaves parts unacknowledged.
+
+	mu      sync.Mutex
+	link    cleat.Link
+	seq     uint64
+	grants  []cleat.Grant
+	incarn  cleat.Incarnation
+	answers map[cleat.Attempt]*answer
+	state   *cleat.AgentState
+	downs   int
+}
+
+type answer struct {
+	status  int
+	text    []byte
+	doubled int
+	ended   bool
+	outcome cleat.Outcome
+	refused *cleat.Refused
+}
+
+func startEntry(a *running, incarnation cleat.Incarnation) *entry {
+	e := &entry{
+		peer:    cleat.Peer{Instance: "entry1", Incarnation: incarnation, Role: cleat.RoleEntry, Domain: "d1"},
+		answers: make(map[cleat.Attempt]*answer),
+	}
+	e.dialer = wire.NewDialer(linkConfig(), func() cleat.Peer { return e.peer }, e, quiet())
+	DeferCleanup(e.dialer.Close)
+	e.dialer.Keep(a.Addr())
+	Eventually(e.isUp, patience).Should(BeTrue())
+	return e
+}
+
+func (e *entry) isUp() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.link != nil
+}
+
+func (e *entry) LinkUp(l cleat.Link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.link, e.seq, e.incarn = l, 0, l.Peer().Incarnation
+	for attempt, a := range e.answers {
+		if !a.ended && a.refused == nil {
+			_ = l.Send(&cleat.Resume{Attempt: attempt, Offset: uint64(len(a.text))})
+		}
+	}
+}
+
+func (e *entry) LinkDown(l cleat.Link, _ error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.downs++
+	if e.link == l {
+		e.link = nil
+	}
+}
+
+func (e *entry) closed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.downs
+}
+
+func (e *entry) LinkMessage(l cleat.Link, m cleat.Message) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch m := m.(type) {
+	case *cleat.Grants:
+		e.grants = append(e.grants, m.Grants...)
+	case *cleat.AgentState:
+		e.state = m
+	case *cleat.Refused:
+		e.answer(m.Attempt).refused = m
+	case *cleat.Part:
+		e.take(l, m)
+	}
+}
+
+func (e *entry) take(l cleat.Link, m *cleat.Part) {
+	a := e.answer(m.Attempt)
+	if m.Offset != uint64(len(a.text)) {
+		a.doubled++
+		return
+	}
+	if m.Status != 0 {
+		a.status = m.Status
+	}
+	a.text = append(a.text, m.Data...)
+	if m.End {
+		a.ended, a.outcome = true, m.Outcome
+	}
+	if !e.noAck {
+		_ = l.Send(&cleat.PartAck{Attempt: m.Attempt, Offset: uint64(len(a.text)), Done: m.End})
+	}
+}
+
+func (e *entry) answer(attempt cleat.Attempt) *answer {
+	if e.answers[attempt] == nil {
+		e.answers[attempt] = &answer{}
+	}
+	return e.answers[attempt]
+}
+
+// got returns what is known of an attempt's answer.
+func (e *entry) got(attempt cleat.Attempt) answer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := *e.answer(attempt)
+	a.text = append([]byte(nil), a.text...)
+	return a
+}
+
+func (e *entry) over(attempt cleat.Attempt) func() bool {
+	return func() bool {
+		a := e.got(attempt)
+		return a.ended || a.refused != nil
+	}
+}
+
+func (e *entry) send(m cleat.Message) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	Expect(e.link).NotTo(BeNil())
+	Expect(e.link.Send(m)).To(Succeed())
+}
+
+func (e *entry) cut() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.link != nil {
+		_ = e.link.Close()
+	}
+}
+
+// grant offers one request of the stream until a slot is granted for it.
+func (e *entry) grant(s cleat.Stream) (cleat.Grant, cleat.Incarnation) {
+	GinkgoHelper()
+	var g cleat.Grant
+	Eventually(func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if n := len(e.grants); n > 0 {
+			g, e.grants = e.grants[n-1], nil
+			return true
+		}
+		if e.link != nil {
+			e.seq++
+			_ = e.link.Send(&cleat.Offers{Incarnation: e.peer.Incarnation, Seq: e.seq, Offers: []cleat.Offer{{Stream: s, Waiting: 1, Head: 10, Share: 1}}})
+		}
+		return false
+	}, patience, 20*time.Millisecond).Should(BeTrue())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return g, e.incarn
+}
+
+// dispatch runs a request under a fresh grant.
+func (e *entry) dispatch(id string, s cleat.Stream, change func(d *cleat.Dispatch)) cleat.Attempt {
+	GinkgoHelper()
+	g, incarnation := e.grant(s)
+	d := &cleat.Dispatch{
+		Incarnation: incarnation, Grant: g.ID, Attempt: cleat.Attempt{Request: cleat.RequestID(id), Number: 1},
+		Stream: s, Estimate: 10, Share: 1, Repeatable: true, Timeout: time.Minute,
+		Method: "POST", Target: cleat.ChatPath, Body: []byte(chatBody(8)),
+	}
+	if change != nil {
+		change(d)
+	}
+	e.mu.Lock()
+	e.answer(d.Attempt)
+	e.mu.Unlock()
+	e.send(d)
+	return d.Attempt
+}
+
+func chatBody(tokens int) string {
+	return fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hi"}]}`, tokens)
+}
+
+func modelStream() cleat.Stream {
+	return cleat.Stream{Workspace: "ring/desk", Class: "draft", Kind: cleat.KindModel, Model: "m"}
+}
+
+func plainStream() cleat.Stream {
+	return cleat.Stream{Workspace: "ring/desk", Class: "pay", Kind: cleat.KindPlain, Model: "desk"}
+}
+
+// action changes a dispatch into a non-repeatable action.
+func action(d *cleat.Dispatch) {
+	d.Repeatable, d.Target, d.Body = false, "/pay", []byte("{}")
+	d.Header = []cleat.HeaderField{{Name: cleat.DefaultIdempotencyHeader, Value: "k"}}
+}
+
+func startEngine(a *running, change func(c *fakes.EngineConfig)) *fakes.Engine {
+	cfg := fakes.EngineConfig{ID: "e1", Models: []cleat.ModelID{"m"}, AgentURL: "http://" + a.HTTPAddr(), AnnounceInterval: 100 * time.Millisecond}
+	if change != nil {
+		change(&cfg)
+	}
+	e, err := fakes.StartEngine(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(e.Close)
+	return e
+}
+
+func startPlain(a *running) *fakes.Plain {
+	p, err := fakes.StartPlain(fakes.PlainConfig{ID: "p1", Pool: "desk", AgentURL: "http://" + a.HTTPAddr(), AnnounceInterval: 100 * time.Millisecond})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(p.Close)
+	return p
+}
--- a/agent/usage.go
+++ b/agent/usage.go
@@ -15,10 +15,10 @@
 var (
 	eventEnd   = []byte("\n\n")
 	eventEndCR = []byte("\r\n\r\n")
-	eventDone = []byte("data: [DONE]")
-	usageKey  = []byte(`"usage"`)
-	deltaKey  = []byte(`"delta"`)
-	eventID   = []byte("id: ")
+	eventDone  = []byte("data: [DONE]")
+	usageKey   = []byte(`"usage"`)
+	deltaKey   = []byte(`"delta"`)
+	eventID    = []byte("id: ")
 )
 
 // usageReport is the usage member of a model's answer.
