Add the replicated log, its host and a rig on virtual time

Control needs agreement over the disks of a few instances without a library for it. Core decides; Replica adds the state machine and callers; Host adds disk, links and workers.

--- /dev/null
+++ b/quorum/core.go
@@ -0,0 +1,366 @@
+package quorum
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
+)
+
+// Duty is the part a replica plays in the present term.
+type Duty string
+
+// The duties of a replica.
+const (
+	DutyFollower  Duty = "follower"
+	DutyPreVote   Duty = "pre_vote" // Asks whether an election would succeed.
+	DutyCandidate Duty = "candidate"
+	DutyLeader    Duty = "leader"
+)
+
+// Identity binds a replica to its data.
+type Identity struct {
+	Instance cleat.InstanceID `msgpack:"i"`
+	Replica  ReplicaID        `msgpack:"r"`
+}
+
+// Restored is what a replica finds in its data at the start.
+type Restored struct {
+	Identity Identity
+	State    HardState
+	Snapshot SnapshotMeta
+	Entries  []Entry
+}
+
+// ReadIndex is a confirmed read: the state holds what the read must see once
+// the entry at Index is applied.
+type ReadIndex struct {
+	ID    uint64
+	Index uint64
+}
+
+// Install is a snapshot received whole from the leader.
+type Install struct {
+	Meta SnapshotMeta
+	Data []byte
+}
+
+// Output is what one step of the core wants done, in this order: Install and
+// persist, then apply; Send at once, After once all that was to be persisted
+// until now is synced.
+type Output struct {
+	State   bool // The hard state changed.
+	Entries []Entry
+	Install *Install
+	Apply   []Entry
+	Send    []Message
+	After   []Message
+	Reads   []ReadIndex
+	Refused []uint64 // Proposals that were certainly not accepted.
+}
+
+// Core decides for one replica; it is deterministic and not safe for
+// concurrent use.
+type Core struct {
+	cfg     Config
+	rnd     *rand.Rand
+	id      Identity
+	session uint64 // Distinguishes proposals of this life of the replica.
+	state   HardState
+	log     *entryLog
+	commit  uint64
+	halted  bool // An invariant was violated; the replica takes no further part.
+
+	present     time.Time // The latest time seen.
+	duty        Duty
+	leader      ReplicaID
+	termLeader  ReplicaID // The only leader seen in this term.
+	electionDue time.Time
+	heard       time.Time // From the leader.
+	votes       map[ReplicaID]bool
+	incoming    *incomingSnapshot
+
+	lead *leadership // Nil unless leading.
+	out  Output
+}
+
+// NewCore returns a follower that begins with what was restored.
+func NewCore(cfg Config, now time.Time, r Restored, session uint64, rnd *rand.Rand) *Core {
+	c := &Core{cfg: cfg, rnd: rnd, id: r.Identity, session: session, state: r.State, duty: DutyFollower}
+	c.log = newEntryLog(r.Snapshot, r.Entries)
+	c.commit = r.Snapshot.Index
+	c.present = now
+	c.resetElection(now)
+	return c
+}
+
+// Bootstrap forms a new log with members as its voters, or returns a
+// trace.AlreadyExists error when the replica already belongs to one.
+func (c *Core) Bootstrap(now time.Time, cluster ClusterID, members []Member) (Output, error) {
+	if c.state != (HardState{}) || c.log.last() > 0 {
+		return Output{}, trace.AlreadyExists("Core.Bootstrap: the replica belongs to a log already")
+	}
+	if len(members) == 0 || countVoters(members) > MaxVoters {
+		return Output{}, trace.BadParameter("Core.Bootstrap: there must be 1 to %d members", MaxVoters)
+	}
+	sortMembers(members)
+	c.state = HardState{Cluster: cluster, Term: 1}
+	c.out.State = true
+	c.appendOwn(Entry{Index: 1, Term: 1, Kind: EntryMembers, Members: members})
+	c.electionDue = now
+	return c.take(), nil
+}
+
+// Tick lets time pass.
+func (c *Core) Tick(now time.Time) Output {
+	c.observe(now)
+	if c.halted {
+		return Output{}
+	}
+	if c.duty == DutyLeader {
+		c.tickLeader(now)
+		return c.take()
+	}
+	if !now.Before(c.electionDue) && c.isVoter() {
+		c.startPreVote(now)
+	}
+	return c.take()
+}
+
+// Step handles a message from another replica, or one that the core sent to itself.
+func (c *Core) Step(now time.Time, m *Message) Output {
+	c.observe(now)
+	if c.halted || !c.isFor(m) {
+		return Output{}
+	}
+	if c.checkTerm(now, m) {
+		c.handle(now, m)
+	}
+	return c.take()
+}
+
+// Synced tells the core that its entries up to index, which had term, and its
+// hard state are synced.
+func (c *Core) Synced(now time.Time, index, term uint64) Output {
+	c.observe(now)
+	if c.log.matches(index, term) {
+		c.log.stable = max(c.log.stable, index)
+	}
+	if c.duty == DutyLeader {
+		c.advanceCommit(now)
+	}
+	return c.take()
+}
+
+// Compacted tells the core that a snapshot of the applied state up to meta is taken.
+func (c *Core) Compacted(meta SnapshotMeta) {
+	c.log.compact(meta, c.cfg.TrailingEntries)
+}
+
+// observe begins all time spans anew when the clock went back, or forward by
+// more than Config.MaxClockGap, so that no lease outlasts a jump and none begins early.
+func (c *Core) observe(now time.Time) {
+	gap := now.Sub(c.present)
+	c.present = now
+	if gap >= 0 && gap <= c.cfg.MaxClockGap {
+		return
+	}
+	if c.duty == DutyLeader {
+		c.lead.leaseFrom = time.Time{}
+		c.lead.sent = nil
+		c.lead.quietTill = now.Add(c.cfg.leaseWait())
+		c.lead.beatDue = now
+	}
+	if gap < 0 {
+		c.heard = now
+		c.resetElection(now)
+	}
+}
+
+// isFor reports whether m is meant for this replica and this log. The
+// recipient is checked by replica: a message for lost data isn't answered. A
+// replica that belongs to no log yet may be asked and may answer.
+func (c *Core) isFor(m *Message) bool {
+	if m.To != c.id.Replica {
+		return false
+	}
+	return m.Cluster == c.state.Cluster || c.state.Cluster == "" || m.Cluster == ""
+}
+
+// checkTerm compares terms and reports whether m is to be handled.
+func (c *Core) checkTerm(now time.Time, m *Message) bool {
+	switch {
+	case m.Kind == MsgPreVote, m.Kind == MsgPreVoteReply && !m.Reject:
+		return true
+	case m.Term > c.state.Term:
+		return c.newerTerm(now, m)
+	case m.Term < c.state.Term:
+		c.olderTerm(m)
+		return false
+	}
+	return true
+}
+
+func (c *Core) newerTerm(now time.Time, m *Message) bool {
+	if m.Kind == MsgVote && !m.Transfer && c.hasLeader(now) {
+		return false
+	}
+	if m.Kind == MsgPropose || m.Kind == MsgRead || m.Kind == MsgCampaign {
+		return false
+	}
+	c.becomeFollower(now, m.Term, "")
+	return true
+}
+
+// olderTerm tells a deposed leader of the newer term, and a proposer that its
+// leader has changed.
+func (c *Core) olderTerm(m *Message) {
+	switch m.Kind {
+	case MsgAppend, MsgSnapshot:
+		c.after(Message{Kind: MsgAppendReply, To: m.From, Reject: true, Index: m.Index, Round: m.Round})
+	case MsgPropose:
+		c.send(Message{Kind: MsgProposeReply, To: m.From, Origin: m.Origin, ID: m.ID})
+	}
+}
+
+func (c *Core) handle(now time.Time, m *Message) {
+	switch m.Kind {
+	case MsgPreVote:
+		c.handlePreVote(now, m)
+	case MsgVote:
+		c.handleVote(now, m)
+	case MsgPreVoteReply, MsgVoteReply:
+		c.handleVoteReply(now, m)
+	case MsgAppend, MsgSnapshot:
+		c.handleFromLeader(now, m)
+	case MsgAppendReply, MsgSnapshotReply:
+		c.handleFromFollower(now, m)
+	case MsgPropose:
+		c.handlePropose(now, m)
+	case MsgProposeReply:
+		c.handleProposeReply(m)
+	case MsgRead:
+		c.handleRead(now, m)
+	case MsgReadReply:
+		c.handleReadReply(m)
+	case MsgCampaign:
+		c.handleCampaign(now, m)
+	}
+}
+
+func (c *Core) becomeFollower(now time.Time, term uint64, leader ReplicaID) {
+	if term != c.state.Term {
+		c.state.Term = term
+		c.state.Vote = ""
+		c.out.State = true
+		c.termLeader = ""
+	}
+	if c.duty == DutyLeader {
+		c.refuseReads()
+	}
+	c.duty = DutyFollower
+	c.lead = nil
+	c.votes = nil
+	c.leader = leader
+	c.resetElection(now)
+}
+
+// StepDown makes a leader a follower, for a replica that can't write.
+func (c *Core) StepDown(now time.Time) Output {
+	if c.duty != DutyFollower {
+		c.becomeFollower(now, c.state.Term, "")
+	}
+	c.resetElection(now)
+	return c.take()
+}
+
+func (c *Core) resetElection(now time.Time) {
+	spread := time.Duration(c.rnd.Int63n(int64(c.cfg.ElectionTimeout)/2 + 1))
+	c.electionDue = now.Add(c.cfg.ElectionTimeout + spread)
+}
+
+// retryElection sets when an election that is not decided is tried again.
+func (c *Core) retryElection(now time.Time) {
+	half := c.cfg.ElectionTimeout / 2
+	c.electionDue = now.Add(half + time.Duration(c.rnd.Int63n(int64(half)+1)))
+}
+
+// hasLeader reports whether a leader was heard of within the election timeout.
+func (c *Core) hasLeader(now time.Time) bool {
+	if c.duty == DutyLeader {
+		return true
+	}
+	return c.leader != "" && now.Sub(c.heard) < c.cfg.ElectionTimeout
+}
+
+func (c *Core) isVoter() bool {
+	members, _ := c.log.members()
+	m, ok := findMember(members, c.id.Replica)
+	return ok && !m.Learner
+}
+
+// majority returns how many voters make a quorum.
+func (c *Core) majority() int {
+	members, _ := c.log.members()
+	return countVoters(members)/2 + 1
+}
+
+// otherMembers returns the members but for this replica.
+func (c *Core) otherMembers() []Member {
+	members, _ := c.log.members()
+	others := make([]Member, 0, len(members))
+	for _, m := range members {
+		if m.Replica != c.id.Replica {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// appendOwn appends an entry that this replica made.
+func (c *Core) appendOwn(e Entry) {
+	c.log.append([]Entry{e})
+	c.out.Entries = append(c.out.Entries, e)
+}
+
+// commitTo raises the commit index and hands out the entries to apply.
+func (c *Core) commitTo(index uint64) {
+	if index <= c.commit {
+		return
+	}
+	c.out.Apply = append(c.out.Apply, c.log.between(c.commit, index)...)
+	c.commit = index
+}
+
+// violate reports a broken invariant and takes the replica out of service.
+func (c *Core) violate(name, format string, args ...any) {
+	c.halted = true
+	assert.Fail(name, format, args...)
+}
+
+func (c *Core) send(m Message) {
+	c.out.Send = append(c.out.Send, c.stamp(m))
+}
+
+func (c *Core) after(m Message) {
+	c.out.After = append(c.out.After, c.stamp(m))
+}
+
+func (c *Core) stamp(m Message) Message {
+	m.Cluster = c.state.Cluster
+	m.From = c.id.Replica
+	m.Instance = c.id.Instance
+	if m.Term == 0 {
+		m.Term = c.state.Term
+	}
+	return m
+}
+
+func (c *Core) take() Output {
+	out := c.out
+	c.out = Output{}
+	return out
+}
--- /dev/null
+++ b/quorum/follower.go
@@ -0,0 +1,98 @@
+package quorum
+
+import "time"
+
+// handleFromLeader handles what only the leader of the term sends.
+func (c *Core) handleFromLeader(now time.Time, m *Message) {
+	if c.termLeader != "" && c.termLeader != m.From {
+		c.violate("one_leader_a_term", "%s and %s lead term %d", c.termLeader, m.From, m.Term)
+		return
+	}
+	if c.state.Cluster == "" {
+		c.state.Cluster = m.Cluster
+		c.out.State = true
+	}
+	if c.duty != DutyFollower || c.leader != m.From {
+		c.becomeFollower(now, m.Term, m.From)
+	}
+	c.termLeader = m.From
+	c.heard = now
+	c.resetElection(now)
+	if m.Kind == MsgSnapshot {
+		c.handleSnapshot(now, m)
+		return
+	}
+	c.handleAppend(m)
+}
+
+func (c *Core) handleAppend(m *Message) {
+	if m.Index < c.commit {
+		c.checkCommitted(m)
+		m = c.withoutCommitted(m)
+	}
+	if !c.log.matches(m.Index, m.LogTerm) {
+		c.rejectAppend(m)
+		return
+	}
+	c.appendEntries(m)
+	last := m.Index + uint64(len(m.Entries))
+	c.commitTo(min(m.Commit, last))
+	c.acceptAppend(m, last)
+}
+
+// checkCommitted compares entries of the message with committed ones.
+func (c *Core) checkCommitted(m *Message) {
+	for i := range m.Entries {
+		e := &m.Entries[i]
+		term, held := c.log.term(e.Index)
+		if held && e.Index <= c.commit && term != e.Term {
+			c.violate("committed_changed", "entry %d of term %d was committed with term %d", e.Index, e.Term, term)
+		}
+	}
+}
+
+// withoutCommitted returns m without the entries up to the commit index.
+func (c *Core) withoutCommitted(m *Message) *Message {
+	rest := *m
+	known := min(c.commit-m.Index, uint64(len(m.Entries)))
+	rest.Entries = m.Entries[known:]
+	rest.Index = c.commit
+	rest.LogTerm, _ = c.log.term(c.commit)
+	return &rest
+}
+
+// appendEntries adds what is new and drops what conflicts with it.
+func (c *Core) appendEntries(m *Message) {
+	for i := range m.Entries {
+		e := &m.Entries[i]
+		if c.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= c.commit {
+			c.violate("committed_changed", "entry %d of term %d would replace a committed one", e.Index, e.Term)
+			return
+		}
+		if e.Index <= c.log.last() {
+			c.log.truncate(e.Index)
+		}
+		c.log.append(m.Entries[i:])
+		c.out.Entries = append(c.out.Entries, m.Entries[i:]...)
+		return
+	}
+}
+
+func (c *Core) acceptAppend(m *Message, index uint64) {
+	c.after(Message{Kind: MsgAppendReply, To: m.From, Index: index, Round: m.Round})
+}
+
+func (c *Core) rejectAppend(m *Message) {
+	hint := min(c.log.last(), m.Index-1)
+	for hint > c.commit {
+		term, ok := c.log.term(hint)
+		if !ok || term <= m.LogTerm {
+			break
+		}
+		hint--
+	}
+	c.after(Message{Kind: MsgAppendReply, To: m.From, Reject: true, Index: m.Index, Hint: hint, Round: m.Round})
+}
--- /dev/null
+++ b/quorum/log_test.go
@@ -0,0 +1,51 @@
+package quorum_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat/trial"
+)
+
+var _ = Describe("A replicated log", func() {
+	for _, size := range []int{1, 3, 5, 7} {
+		It("accepts commands on every instance, with a number of instances of "+string(rune('0'+size)), func() {
+			c := trial.New(small(size, 0, int64(size)))
+			Expect(c.AwaitLeader(5*time.Second) == nil).To(BeFalse())
+			for _, n := range c.Nodes() {
+				proposeOn(c, n, 30, 10*time.Millisecond)
+				n.Confirm(nil)
+			}
+			c.Run(time.Second)
+			Expect(c.Accepted()).To(Equal(30 * size))
+			settle(c)
+		})
+	}
+
+	It("forms no log while one of the first instances is missing", func() {
+		c := trial.New(small(3, 0, 1))
+		first, last := c.Nodes()[0], c.Nodes()[2]
+		first.Crash()
+		last.Crash()
+		c.Run(5 * time.Second)
+		first.Start()
+		c.Run(5 * time.Second)
+		Expect(first.Status().Term).To(BeZero())
+		last.Start()
+		Expect(c.AwaitLeader(5*time.Second) == nil).To(BeFalse())
+		settle(c)
+	})
+
+	It("hands leadership over without waiting for a timeout", func() {
+		c := trial.New(small(3, 0, 2))
+		leader := c.AwaitLeader(5 * time.Second)
+		leader.HandOver()
+		Expect(c.RunUntil(50*time.Millisecond, func() bool {
+			next := c.Leader()
+			return next != nil && next != leader
+		})).To(BeTrue())
+		settle(c)
+	})
+})
--- /dev/null
+++ b/quorum/members.go
@@ -0,0 +1,100 @@
+package quorum
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// ChangeKind tells what a membership change does.
+type ChangeKind uint8
+
+// The kinds of membership changes.
+const (
+	ChangeAdd     ChangeKind = iota + 1 // Adds a learner.
+	ChangePromote                       // Makes a learner a voter.
+	ChangeRemove
+)
+
+// MemberChange changes the member list by one replica.
+type MemberChange struct {
+	Kind   ChangeKind
+	Member Member // Only Replica counts for ChangePromote and ChangeRemove.
+}
+
+// ChangeMembers appends a membership change at the leader. It returns a
+// trace.LimitExceeded error when the replica can't take it now and a
+// trace.BadParameter error when the change is wrong; both mean that nothing changed.
+func (c *Core) ChangeMembers(now time.Time, id uint64, change MemberChange) (Output, error) {
+	c.observe(now)
+	if !c.isReady() {
+		return Output{}, trace.LimitExceeded("Core.ChangeMembers: this replica does not lead, or not yet")
+	}
+	if !c.configCommitted() {
+		return Output{}, trace.LimitExceeded("Core.ChangeMembers: another change is under way")
+	}
+	members, err := c.changed(change)
+	if err != nil {
+		return Output{}, trace.Wrap(err)
+	}
+	sortMembers(members)
+	c.appendNext(now, Entry{Kind: EntryMembers, Origin: c.session, ID: id, Members: members})
+	return c.take(), nil
+}
+
+// configCommitted reports whether the member list in force is committed.
+func (c *Core) configCommitted() bool {
+	_, index := c.log.members()
+	return index <= c.commit
+}
+
+func (c *Core) changed(change MemberChange) ([]Member, error) {
+	current, _ := c.log.members()
+	members := slices.Clone(current)
+	i := slices.IndexFunc(members, func(m Member) bool { return m.Replica == change.Member.Replica })
+	if change.Kind == ChangeAdd {
+		return addLearner(members, i, change.Member)
+	}
+	if i < 0 {
+		return nil, trace.BadParameter("Core.ChangeMembers: %s is no member", change.Member.Replica)
+	}
+	if change.Kind == ChangePromote {
+		return c.promoted(members, i)
+	}
+	if !members[i].Learner && countVoters(members) == 1 {
+		return nil, trace.BadParameter("Core.ChangeMembers: the last voter can't be removed")
+	}
+	return slices.Delete(members, i, i+1), nil
+}
+
+func addLearner(members []Member, i int, m Member) ([]Member, error) {
+	if i >= 0 {
+		return nil, trace.BadParameter("Core.ChangeMembers: %s is a member already", m.Replica)
+	}
+	if m.Replica == "" || m.Instance == "" {
+		return nil, trace.BadParameter("Core.ChangeMembers: a member needs an instance and a replica identity")
+	}
+	m.Learner = true
+	return append(members, m), nil
+}
+
+func (c *Core) promoted(members []Member, i int) ([]Member, error) {
+	m := &members[i]
+	if !m.Learner {
+		return nil, trace.BadParameter("Core.ChangeMembers: %s votes already", m.Replica)
+	}
+	if countVoters(members) >= MaxVoters {
+		return nil, trace.BadParameter("Core.ChangeMembers: there are %d voters already", MaxVoters)
+	}
+	for _, other := range members {
+		if other.Instance == m.Instance && !other.Learner {
+			return nil, trace.BadParameter("Core.ChangeMembers: remove %s, the earlier replica of %s, first", other.Replica, m.Instance)
+		}
+	}
+	if c.lead.progress[m.Replica].match < c.commit {
+		return nil, trace.LimitExceeded("Core.ChangeMembers: %s has not caught up", m.Replica)
+	}
+	m.Learner = false
+	return members, nil
+}
--- /dev/null
+++ b/quorum/status.go
@@ -0,0 +1,101 @@
+package quorum
+
+import (
+	"time"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Follower is what a leader knows of another member.
+type Follower struct {
+	Member
+	Match uint64        `json:"match"` // The last entry known to be synced there.
+	Quiet time.Duration `json:"quiet"` // Since it was heard, in nanoseconds.
+}
+
+// Status tells operators where a replica stands.
+type Status struct {
+	Instance   cleat.InstanceID `json:"instance"`
+	Replica    ReplicaID        `json:"replica"`
+	Cluster    ClusterID        `json:"cluster"`
+	Duty       Duty             `json:"duty"`
+	Term       uint64           `json:"term"`
+	Leader     cleat.InstanceID `json:"leader,omitempty"`
+	Members    []Member         `json:"members"`
+	Changing   bool             `json:"changing"` // A membership change is not committed yet.
+	Last       uint64           `json:"last"`     // Entry in the log.
+	Commit     uint64           `json:"commit"`
+	Applied    uint64           `json:"applied"`
+	Synced     uint64           `json:"synced"`
+	Snapshot   uint64           `json:"snapshot"` // The last entry that the snapshot stands for.
+	Lease      bool             `json:"lease"`    // It may issue orders.
+	Halted     bool             `json:"halted"`   // An invariant was violated.
+	DiskError  string           `json:"disk_error,omitempty"`
+	Followers  []Follower       `json:"followers,omitempty"`
+	Candidates []Candidate      `json:"candidates,omitempty"`
+}
+
+// Status returns where the replica stands at now.
+func (r *Replica) Status(now time.Time) Status {
+	c := r.core
+	members, _ := c.log.members()
+	leader, _ := r.Leader()
+	_, lease := c.Lease(now)
+	return Status{
+		Instance:   c.id.Instance,
+		Replica:    c.id.Replica,
+		Cluster:    c.state.Cluster,
+		Duty:       c.duty,
+		Term:       c.state.Term,
+		Leader:     leader,
+		Members:    members,
+		Changing:   !c.configCommitted(),
+		Last:       c.log.last(),
+		Commit:     c.commit,
+		Applied:    r.applied,
+		Synced:     r.last,
+		Snapshot:   c.log.snapshot.Index,
+		Lease:      lease,
+		Halted:     c.halted,
+		Followers:  c.followers(now),
+		Candidates: r.candidates,
+	}
+}
+
+func (c *Core) followers(now time.Time) []Follower {
+	if c.duty != DutyLeader {
+		return nil
+	}
+	var list []Follower
+	for _, m := range c.otherMembers() {
+		p := c.lead.progress[m.Replica]
+		list = append(list, Follower{Member: m, Match: p.match, Quiet: now.Sub(p.heard)})
+	}
+	return list
+}
+
+// Leader returns the leader this replica knows of, if any.
+func (r *Replica) Leader() (cleat.InstanceID, bool) {
+	if r.core.leader == "" {
+		return "", false
+	}
+	if r.core.leader == r.core.id.Replica {
+		return r.core.id.Instance, true
+	}
+	return r.instanceOf(r.core.leader)
+}
+
+// Lease returns the term and whether this replica may issue orders at now.
+func (r *Replica) Lease(now time.Time) (term uint64, held bool) {
+	return r.core.Lease(now)
+}
+
+// Leads returns the term and whether this replica leads it.
+func (r *Replica) Leads() (term uint64, leads bool) {
+	return r.core.state.Term, r.core.duty == DutyLeader
+}
+
+// ID returns the replica's identity.
+func (r *Replica) ID() ReplicaID {
+	return r.core.id.Replica
+}
--- /dev/null
+++ b/quorum/suite_test.go
@@ -0,0 +1,66 @@
+package quorum_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/quorum"
+	"marigoldcleat.example/cleat/trial"
+)
+
+func TestQuorum(t *testing.T) {
+	defer assert.SetHook(func(name, msg string) { panic(name + ": " + msg) })()
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quorum")
+}
+
+// small makes snapshots, segments and chunks so small that a test meets many.
+func small(size, spare int, seed int64) trial.Config {
+	return trial.Config{
+		Size:      size,
+		Spare:     spare,
+		Seed:      seed,
+		Delay:     500 * time.Microsecond,
+		Jitter:    500 * time.Microsecond,
+		SyncDelay: 2 * time.Millisecond,
+		Segment:   2000,
+		Quorum: quorum.Config{
+			SnapshotEntries:    40,
+			TrailingEntries:    8,
+			SnapshotChunkBytes: 100,
+			MaxAppendBytes:     400,
+			MaxInflightEntries: 16,
+			ProposeTimeout:     2 * time.Second,
+		},
+	}
+}
+
+// proposeOn proposes n commands on a node, some time apart.
+func proposeOn(c *trial.Cluster, node *trial.Node, n int, apart time.Duration) {
+	for range n {
+		node.Propose()
+		c.Run(apart)
+	}
+}
+
+// settle heals all faults, starts all instances and expects that they agree.
+func settle(c *trial.Cluster) {
+	GinkgoHelper()
+	c.Heal()
+	c.SetFaults(trial.Faults{})
+	for _, n := range c.Nodes() {
+		n.Disk().SetCapacity(0)
+		n.Disk().FailSyncs(0)
+		n.Disk().CrashAt(0)
+		n.Start()
+		Expect(n.Err()).NotTo(HaveOccurred())
+	}
+	Expect(c.AwaitLeader(30*time.Second) == nil).To(BeFalse(), "no leader")
+	c.Run(5 * time.Second)
+	c.CheckAll()
+	Expect(c.Violations()).To(BeEmpty())
+}
