gauge: measure the decisions on virtual time

Cause: nothing measured the fairness gap, utilisation and control traffic. Change: gauge policy drives queue, slots and ledger, the code that the roles run, over fakes of links (delay, loss, doubling, cuts) and engines, beside an all-seeing queue and three baselines on the same arrivals; gauge soak repeats it under random faults with fresh seeds.

--- /dev/null
+++ b/cmd/gauge/bench/bench_test.go
@@ -0,0 +1,87 @@
+package bench_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat/cmd/gauge/bench"
+)
+
+func TestBench(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "bench")
+}
+
+func options(deployment, faults string, seed int64) bench.Options {
+	d, err := bench.DeploymentByName(deployment)
+	Expect(err).NotTo(HaveOccurred())
+	o := bench.Options{Deployment: d, Seed: seed, Duration: 40 * time.Second, Load: 1.5, Backlogged: 0.5}
+	o.Faults, err = bench.ParseFaults(faults, seed, o.Duration)
+	Expect(err).NotTo(HaveOccurred())
+	return o
+}
+
+var _ = Describe("Run", func() {
+	for _, name := range bench.Policies() {
+		It("gives the same result for the same seed under "+string(name), func() {
+			var out [2][]byte
+			for i := range out {
+				b, err := json.Marshal(bench.Run(options("lade", "random", 3), name))
+				Expect(err).NotTo(HaveOccurred())
+				out[i] = b
+			}
+			Expect(out[0]).To(Equal(out[1]))
+		})
+	}
+
+	It("keeps the oracle's slots busy while work waits", func() {
+		r := bench.Run(options("pastor-andino", "", 1), bench.PolicyOracle)
+		Expect(r.Utilisation).To(BeNumerically(">", 0.97))
+		Expect(r.GapLargest).To(BeNumerically(">", 0))
+	})
+
+	faults := map[string]string{
+		"no fault":                     "",
+		"a cut failure domain":         "partition@10s-20s",
+		"a restarted entry":            "restart-entry@12s",
+		"a restarted agent":            "restart-agent@12s",
+		"restarted control instances":  "restart-control@12s",
+		"a slow upstream":              "slow-upstream@10s-20s",
+		"lossy links":                  "lossy@10s-25s",
+		"a flood":                      "flood@10s-25s",
+		"wrong hints":                  "wrong-hints@5s-30s",
+		"a leaving upstream":           "leave@10s-25s",
+		"a cut and a flood":            "partition@10s-20s,flood@8s-25s",
+		"two restarts on a lossy link": "restart-agent@12s,restart-entry@13s,lossy@10s-20s",
+	}
+	for name, list := range faults {
+		It("breaks no promise under "+name, func() {
+			watch := bench.NewWatch()
+			r := bench.Run(options("pastor-andino", list, 5), bench.PolicyOurs)
+			n, violated := watch.Stop()
+			Expect(violated).To(BeEmpty())
+			Expect(n).To(BeZero())
+			Expect(r.Twice).To(BeZero())
+			Expect(r.Untrue).To(BeZero())
+			Expect(r.PastDeadline).To(BeZero())
+			Expect(r.Served).To(BeNumerically(">", 0))
+		})
+	}
+})
+
+var _ = Describe("ParseFaults", func() {
+	bad := map[string]string{
+		"unknown kind": "fire@1s-2s",
+		"bad time":     "lossy@soon-later",
+	}
+	for name, s := range bad {
+		It("refuses an "+name, func() {
+			_, err := bench.ParseFaults(s, 1, time.Minute)
+			Expect(err).To(HaveOccurred())
+		})
+	}
+})
--- /dev/null
+++ b/cmd/gauge/bench/estimate.go
@@ -0,0 +1,3 @@
+package bench
+
+func newEstimator() estimator { return newEWMA() }
--- a/cmd/gauge/main.go
+++ b/cmd/gauge/main.go
@@ -19,6 +19,8 @@
 
 func main() {
 	app := kingpin.New("gauge", usageGauge)
+	registerPolicy(app)
+	registerSoak(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		app.FatalIfError(err, "")
 	}
