--- a/ledger/book.go
+++ b/ledger/book.go
@@ -47,6 +47,7 @@
 	relay    cleat.InstanceID
 	life     cleat.Incarnation // The relay's.
 	heard    uint64            // Last sums of that relay.
+	ready    bool
 }
 
 // NewBook returns an empty book of an agent.
@@ -99,6 +100,10 @@
 	b.mark(a)
 }
 
+// Ready reports whether the fleet's totals were heard in full, so that a
+// workspace with little service here is known to have received little.
+func (b *Book) Ready() bool { return b.ready }
+
 // Report returns what changed since the last report, or nil.
 func (b *Book) Report() *cleat.LedgerReport {
 	if len(b.changed) == 0 && !b.whole {
@@ -154,6 +159,7 @@
 		b.whole = true
 	}
 	b.heard = m.Seq
+	b.ready = b.ready || m.Ready
 	return true
 }
 
--- a/ledger/relay.go
+++ b/ledger/relay.go
@@ -38,6 +38,7 @@
 	lifts  []float64
 	next   int // Workspace to go on with.
 	ackDue bool
+	ready  bool
 }
 
 // Relay merges agents' totals at a control instance; all of it is soft state.
@@ -105,7 +106,7 @@
 
 // Sums returns what changed since the last sums to an agent, without the
 // agent's own present total, or nil when nothing did.
-func (r *Relay) Sums(_ time.Time, agent cleat.InstanceID) *cleat.LedgerSums {
+func (r *Relay) Sums(now time.Time, agent cleat.InstanceID) *cleat.LedgerSums {
 	f, ok := r.feeds[agent]
 	if !ok {
 		f = &feed{ackDue: true}
@@ -117,14 +118,15 @@
 		f.ackDue = true
 	}
 	totals := r.changed(f, own)
-	if len(totals) == 0 && !f.ackDue {
+	ready := len(totals) < MaxSumsTotals && now.Sub(r.started) > AdoptWindow && !r.started.IsZero()
+	if len(totals) == 0 && !f.ackDue && ready == f.ready {
 		return nil
 	}
 	f.seq++
-	f.ackDue = false
+	f.ackDue, f.ready = false, ready
 	m := &cleat.LedgerSums{
 		Relay: r.self.Instance, Incarnation: r.self.Incarnation,
-		Seq: f.seq, Whole: f.seq == 1, Totals: totals,
+		Seq: f.seq, Whole: f.seq == 1, Ready: ready, Totals: totals,
 	}
 	if own != nil && !own.gap {
 		m.Seen = own.seq
--- a/message.go
+++ b/message.go
@@ -217,5 +217,6 @@
 	Seq         uint64           `msgpack:"q"`
 	Seen        uint64           `msgpack:"s"`
 	Whole       bool             `msgpack:"w,omitempty"`
+	Ready       bool             `msgpack:"y,omitempty"` // The relay has heard the fleet, and nothing is left over for the next sums.
 	Totals      []WorkspaceTotal `msgpack:"t"`
 }
--- a/queue/agent.go
+++ b/queue/agent.go
@@ -52,6 +52,7 @@
 	a.domain, a.up = p.Domain, true
 	t.untell(a)
 	a.whole = true
+	t.epoch++
 	e.Add(t.plan(now))
 	return e
 }
@@ -83,6 +84,7 @@
 		}
 	}
 	a.refresh(now, t)
+	t.epoch++
 	return t.plan(now)
 }
 
@@ -95,7 +97,7 @@
 	for _, s := range t.active {
 		if a.serves(s) && asksFor(m, s.key.Model) {
 			o := a.telling(s)
-			o.left, o.asked, o.dirty = 0, true, true
+			o.left, o.dirty = 0, true
 		}
 	}
 	return t.plan(now)
--- a/queue/attempt.go
+++ b/queue/attempt.go
@@ -48,6 +48,7 @@
 
 func (o *telling) declined(now time.Time) {
 	o.left = 0
+	o.stream.lacking = 0
 	if o.stream.waiting > 0 {
 		o.heldUntil = now.Add(avoidHold)
 	}
@@ -123,6 +124,7 @@
 	a.attempts[r.work.ID] = r
 	if o, ok := a.tellings[s]; ok {
 		o.left = max(0, o.left-1)
+		s.lacking = 0
 	}
 	if u := a.upstream(g.Upstream); u != nil {
 		u.started++
@@ -189,9 +191,6 @@
 }
 
 func (t *Table) conclude(now time.Time, r *request, o cleat.Outcome, e *cleat.Effects) {
-	if u := r.agent.upstream(r.upstream); u != nil {
-		u.started--
-	}
 	switch o.Kind {
 	case cleat.OutcomeDone:
 		t.costs.Learn(&r.work, o.Usage.Cost(r.work.Kind))
--- a/queue/config.go
+++ b/queue/config.go
@@ -11,6 +11,7 @@
 	Spread          int           // Agents that a stream is first offered to.
 	MaxSpread       int           // Agents that it is offered to at most.
 	WidenAfter      time.Duration // Waiting time after which twice as many agents are told.
+	RefreshInterval time.Duration // After which an agent is told again what still waits.
 	OfferInterval   time.Duration // Between changed offers to one agent, but for the first of a stream.
 	ResumeGrace     time.Duration // That a lost agent has to come back with its attempts.
 	UpstreamGrace   time.Duration // That a model may be without upstreams before its requests are refused.
@@ -18,6 +19,7 @@
 	MaxRetryDelay   time.Duration
 	MaxAttempts     int
 	TrustRefusals   time.Duration // Age of an attempt up to which an agent's word that it did not run is believed.
+	ReviewInterval  time.Duration // Between searches for requests that would be late.
 	PaceWindow      time.Duration // Over which the pace of dispatches is seen.
 	PaceSamples     float64       // Dispatches in it before a wait is foretold.
 	LateFactor      float64       // A request is refused when its foretold wait is this much over its time left.
@@ -32,6 +34,8 @@
 func (c *Config) Defaults() {
 	setDuration(&c.WidenAfter, 100*time.Millisecond)
 	setDuration(&c.OfferInterval, 200*time.Millisecond)
+	setDuration(&c.RefreshInterval, 5*time.Second)
+	setDuration(&c.ReviewInterval, 500*time.Millisecond)
 	setDuration(&c.ResumeGrace, 5*time.Second)
 	setDuration(&c.UpstreamGrace, 5*time.Second)
 	setDuration(&c.RetryDelay, 50*time.Millisecond)
--- a/queue/fleet_test.go
+++ b/queue/fleet_test.go
@@ -3,7 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
+	"strings"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -49,27 +52,34 @@
 	cut     map[[2]cleat.InstanceID]bool
 	lose    float64 // Of messages on links that may lose.
 	double  float64
+	jitter  time.Duration // Reorders control messages.
 	slots   uint32
 	life    time.Duration // Of a request at its upstream, by default.
 	fail    func(u cleat.UpstreamID) bool
+	slow    map[cleat.InstanceID]float64
 
 	refusals map[cleat.RequestID][]cleat.Refusal
 	done     map[cleat.RequestID]int
 	ran      map[cleat.RequestID]int
 	served   map[cleat.WorkspaceID]float64
 	busy     time.Duration
+	lost     int // Requests of restarted entries.
+
+	lastRequest int
 }
 
 type entryNode struct {
 	peer  cleat.Peer
 	table *queue.Table
+	live  map[cleat.Attempt]cleat.InstanceID
 }
 
 type agentNode struct {
-	peer   cleat.Peer
-	table  *slots.Table
-	relay  int
-	cancel map[cleat.Attempt]bool
+	peer     cleat.Peer
+	table    *slots.Table
+	relay    int
+	finished map[cleat.Attempt]cleat.Outcome
+	leaving  bool
 }
 
 type relayNode struct {
@@ -85,10 +95,7 @@
 		refusals: map[cleat.RequestID][]cleat.Refusal{}, done: map[cleat.RequestID]int{},
 		ran: map[cleat.RequestID]int{}, served: map[cleat.WorkspaceID]float64{},
 	}
-	for i := range relays {
-		p := cleat.Peer{Instance: cleat.InstanceID(fmt.Sprintf("ctrl-%d", i)), Incarnation: f.incarnation(), Role: cleat.RoleControl}
-		f.relays = append(f.relays, &relayNode{peer: p, relay: ledger.NewRelay(p)})
-	}
+	f.addRelays(relays)
 	for i := range agents {
 		f.startAgent(cleat.InstanceID(fmt.Sprintf("agent-%d", i)), i)
 	}
@@ -100,6 +107,13 @@
 	return f
 }
 
+func (f *fleet) addRelays(n int) {
+	for i := range n {
+		p := cleat.Peer{Instance: cleat.InstanceID(fmt.Sprintf("ctrl-%d", i)), Incarnation: f.incarnation(), Role: cleat.RoleControl}
+		f.relays = append(f.relays, &relayNode{peer: p, relay: ledger.NewRelay(p)})
+	}
+}
+
 func (f *fleet) incarnation() cleat.Incarnation {
 	f.seq++
 	return cleat.Incarnation(f.now.UnixNano()) + cleat.Incarnation(f.seq)
@@ -131,7 +145,7 @@
 	var cfg slots.Config
 	cfg.Defaults()
 	p := cleat.Peer{Instance: id, Incarnation: f.incarnation(), Role: cleat.RoleAgent}
-	a := &agentNode{peer: p, table: slots.New(cfg, p, rand.New(rand.NewSource(f.rnd.Int63()))), cancel: map[cleat.Attempt]bool{}}
+	a := &agentNode{peer: p, table: slots.New(cfg, p, rand.New(rand.NewSource(f.rnd.Int63()))), finished: map[cleat.Attempt]cleat.Outcome{}}
 	if len(f.relays) > 0 {
 		a.relay = n % len(f.relays)
 	}
@@ -146,7 +160,7 @@
 	var cfg queue.Config
 	cfg.Defaults()
 	p := cleat.Peer{Instance: id, Incarnation: f.incarnation(), Role: cleat.RoleEntry}
-	e := &entryNode{peer: p, table: queue.New(cfg, p, rand.New(rand.NewSource(f.rnd.Int63())))}
+	e := &entryNode{peer: p, table: queue.New(cfg, p, rand.New(rand.NewSource(f.rnd.Int63()))), live: map[cleat.Attempt]cleat.InstanceID{}}
 	f.entries[id] = e
 	for _, id := range sortedAgents(f) {
 		f.link(e, f.agents[id])
@@ -154,8 +168,80 @@
 }
 
 func (f *fleet) link(e *entryNode, a *agentNode) {
+	if f.cut[[2]cleat.InstanceID{e.peer.Instance, a.peer.Instance}] {
+		return
+	}
 	f.doAgent(a, a.table.EntryUp(f.now, e.peer))
 	f.doEntry(e, e.table.AgentUp(f.now, a.peer))
+	f.resume(e, a)
+}
+
+// resume asks an agent for the attempts that an entry still waits for, as the
+// roles do when a link comes up.
+func (f *fleet) resume(e *entryNode, a *agentNode) {
+	for _, at := range slices.SortedFunc(maps.Keys(e.live), func(x, y cleat.Attempt) int {
+		return strings.Compare(x.String(), y.String())
+	}) {
+		if e.live[at] != a.peer.Instance {
+			continue
+		}
+		if o, ok := a.finished[at]; ok {
+			f.send(a.peer.Instance, e.peer.Instance, &cleat.Part{Attempt: at, End: true, Outcome: o})
+			continue
+		}
+		if ran := a.table.Void(f.now, at); ran != cleat.RanYes {
+			f.send(a.peer.Instance, e.peer.Instance, &cleat.Refused{Attempt: at, Ran: ran})
+		}
+	}
+}
+
+// cutLink silently drops all between two instances; their links break after detect.
+func (f *fleet) cutLink(e, a cleat.InstanceID, detect time.Duration) {
+	f.cut[[2]cleat.InstanceID{e, a}], f.cut[[2]cleat.InstanceID{a, e}] = true, true
+	f.after(detect, func() {
+		if f.cut[[2]cleat.InstanceID{e, a}] {
+			f.unlink(f.entries[e], f.agents[a])
+		}
+	})
+}
+
+func (f *fleet) heal(e, a cleat.InstanceID) {
+	if !f.cut[[2]cleat.InstanceID{e, a}] {
+		return
+	}
+	delete(f.cut, [2]cleat.InstanceID{e, a})
+	delete(f.cut, [2]cleat.InstanceID{a, e})
+	f.unlink(f.entries[e], f.agents[a])
+	f.link(f.entries[e], f.agents[a])
+}
+
+func (f *fleet) restartAgent(id cleat.InstanceID) {
+	for _, e := range sortedEntries(f) {
+		f.doEntry(f.entries[e], f.entries[e].table.AgentDown(f.now, id))
+	}
+	f.startAgent(id, f.agents[id].relay)
+}
+
+func (f *fleet) restartEntry(id cleat.InstanceID) {
+	for _, a := range sortedAgents(f) {
+		f.doAgent(f.agents[a], f.agents[a].table.EntryDown(f.now, id))
+	}
+	f.lost += f.entries[id].table.Waiting() + f.entries[id].table.Running()
+	f.startEntry(id)
+}
+
+func (f *fleet) restartRelay(i int) {
+	p := f.relays[i].peer
+	p.Incarnation = f.incarnation()
+	f.relays[i] = &relayNode{peer: p, relay: ledger.NewRelay(p)}
+	for _, other := range f.relays {
+		if other.peer.Instance == p.Instance {
+			continue
+		}
+		for _, m := range other.relay.Whole() {
+			f.relays[i].relay.Report(f.now, m)
+		}
+	}
 }
 
 func (f *fleet) unlink(e *entryNode, a *agentNode) {
@@ -173,7 +259,7 @@
 func (f *fleet) tick() {
 	for _, id := range sortedAgents(f) {
 		a := f.agents[id]
-		f.announce(a, false)
+		f.announce(a, a.leaving)
 		f.doAgent(a, a.table.Tick(f.now))
 	}
 	for _, id := range sortedEntries(f) {
@@ -215,7 +301,12 @@
 	if f.cut[[2]cleat.InstanceID{from, to}] {
 		return
 	}
-	if f.rnd.Float64() < f.lose {
+	control := true
+	switch m.(type) {
+	case *cleat.Dispatch, *cleat.Part, *cleat.Refused:
+		control = false
+	}
+	if control && f.rnd.Float64() < f.lose {
 		return
 	}
 	n := 1
@@ -223,11 +314,18 @@
 		n = 2
 	}
 	for range n {
-		f.after(time.Millisecond, func() { f.deliver(from, to, m) })
+		delay := time.Millisecond
+		if control && f.jitter > 0 {
+			delay += time.Duration(f.rnd.Int63n(int64(f.jitter)))
+		}
+		f.after(delay, func() { f.deliver(from, to, m) })
 	}
 }
 
 func (f *fleet) deliver(from, to cleat.InstanceID, m cleat.Message) {
+	if f.cut[[2]cleat.InstanceID{from, to}] {
+		return
+	}
 	if a, ok := f.agents[to]; ok {
 		f.toAgent(a, from, m)
 		return
@@ -244,11 +342,15 @@
 	case *cleat.Grants:
 		f.doEntry(e, e.table.Grants(f.now, from, m))
 	case *cleat.Refused:
+		if m.Ran != cleat.RanYes {
+			delete(e.live, m.Attempt)
+		}
 		f.doEntry(e, e.table.Refused(f.now, from, m))
 	case *cleat.Part:
-		if m.Outcome.Kind == cleat.OutcomeDone {
+		if _, ok := e.live[m.Attempt]; ok && m.Outcome.Kind == cleat.OutcomeDone {
 			f.done[m.Attempt.Request]++
 		}
+		delete(e.live, m.Attempt)
 		f.doEntry(e, e.table.Finished(f.now, m.Attempt, m.Outcome))
 	}
 }
@@ -273,7 +375,7 @@
 func (f *fleet) serve(a *agentNode, from cleat.InstanceID, u cleat.UpstreamID, m *cleat.Dispatch) {
 	f.ran[m.Attempt.Request]++
 	tokens := uint64(m.Timeout / time.Hour)
-	life := time.Duration(tokens) * 10 * time.Millisecond
+	life := time.Duration(float64(tokens) * f.pace(a.peer.Instance) * float64(10*time.Millisecond))
 	for part := 1; part <= 4; part++ {
 		used := cleat.Usage{OutputTokens: tokens * uint64(part) / 4}
 		f.after(life*time.Duration(part)/4-time.Microsecond, func() {
@@ -290,6 +392,7 @@
 			o.Kind = cleat.OutcomeFailed
 		}
 		f.served[m.Stream.Workspace] += float64(tokens)
+		a.finished[m.Attempt] = o
 		f.doAgent(a, a.table.Finish(f.now, m.Attempt, o))
 		f.send(a.peer.Instance, from, &cleat.Part{Attempt: m.Attempt, End: true, Outcome: o})
 	})
@@ -306,6 +409,7 @@
 		f.send(n.peer.Instance, s.To, s.Message)
 	}
 	for _, s := range e.Starts {
+		n.live[s.Attempt] = s.Agent
 		f.send(n.peer.Instance, s.Agent, &cleat.Dispatch{
 			Incarnation: s.Incarnation, Grant: s.Grant.ID, Attempt: s.Attempt, Stream: s.Grant.Stream,
 			Estimate: s.Work.Estimate, Share: s.Share, Repeatable: s.Work.Repeatable,
@@ -314,7 +418,20 @@
 	}
 	for _, r := range e.Refusals {
 		f.refusals[r.Request] = append(f.refusals[r.Request], r)
+		for at := range n.live {
+			if at.Request == r.Request {
+				delete(n.live, at)
+			}
+		}
+	}
+}
+
+// pace is how much slower than others an agent's upstream is.
+func (f *fleet) pace(id cleat.InstanceID) float64 {
+	if s, ok := f.slow[id]; ok {
+		return s
 	}
+	return 1
 }
 
 // tokensOf reads the true cost from a request's name.
@@ -327,13 +444,11 @@
 	return tokens
 }
 
-var lastRequest int
-
 // submit gives an entry a request of true cost tokens and returns its name.
 func (f *fleet) submit(e cleat.InstanceID, w cleat.WorkspaceID, tokens int, change func(*cleat.Work)) cleat.RequestID {
-	lastRequest++
+	f.lastRequest++
 	work := cleat.Work{
-		ID:        cleat.RequestID(fmt.Sprintf("%d/%d/%s", lastRequest, tokens, w)),
+		ID:        cleat.RequestID(fmt.Sprintf("%d/%d/%s", f.lastRequest, tokens, w)),
 		Workspace: w, Class: "c", Kind: cleat.KindModel, Model: "m",
 		Received: f.now, Deadline: f.now.Add(10 * time.Minute), Repeatable: true,
 	}
--- a/queue/offer.go
+++ b/queue/offer.go
@@ -15,7 +15,7 @@
 	stream    *stream
 	left      int // What the agent believes is still waiting.
 	dirty     bool
-	asked     bool      // The agent asked for work.
+	toldAt    time.Time
 	heldUntil time.Time // After it granted a slot that nothing could use.
 }
 
@@ -79,9 +79,10 @@
 			told++
 		}
 	}
-	for told < s.spread {
+	for told < s.spread && s.lacking != t.epoch {
 		a := t.nearest(s)
 		if a == nil {
+			s.lacking = t.epoch
 			return
 		}
 		o := a.telling(s)
@@ -131,7 +132,7 @@
 	interval := now.Sub(a.sentAt) >= t.cfg.OfferInterval
 	send := a.whole
 	for _, o := range a.tellOrder {
-		o.review(now)
+		o.review(now, t.cfg.RefreshInterval)
 		send = send || (o.dirty && (interval || o.urgent()))
 	}
 	if !send {
@@ -150,13 +151,15 @@
 }
 
 // review marks a telling that is too far from what waits.
-func (o *telling) review(now time.Time) {
+func (o *telling) review(now time.Time, refresh time.Duration) {
 	waiting := o.stream.waiting
 	switch {
 	case now.Before(o.heldUntil):
 		o.dirty = false
 	case o.left > 0 && (waiting >= 2*o.left || 2*waiting <= o.left):
 		o.dirty = true
+	case o.left > 0 && now.Sub(o.toldAt) >= refresh:
+		o.dirty = true
 	case o.left == 0 && waiting == 0:
 		o.dirty = false
 	}
@@ -175,7 +178,7 @@
 		m.Busy = now.Sub(s.workspace.busySince)
 		m.Affinity = o.affinity(r)
 	}
-	o.left, o.dirty, o.asked = s.waiting, false, false
+	o.left, o.dirty, o.toldAt = s.waiting, false, now
 	return m
 }
 
@@ -202,6 +205,7 @@
 			continue
 		}
 		delete(a.tellings, o.stream)
+		o.stream.lacking = 0
 		for i, other := range o.stream.tellings {
 			if other == o {
 				o.stream.tellings = append(o.stream.tellings[:i], o.stream.tellings[i+1:]...)
--- a/queue/request.go
+++ b/queue/request.go
@@ -143,6 +143,9 @@
 			}
 		}
 	case phaseRunning:
+		if u := r.agent.upstream(r.upstream); u != nil {
+			u.started--
+		}
 		t.running--
 		w.running--
 		delete(r.agent.attempts, r.work.ID)
--- a/queue/stream.go
+++ b/queue/stream.go
@@ -30,6 +30,7 @@
 	list      []*request // By time received; those in other phases are skipped.
 	waiting   int
 	spread    int
+	lacking   uint64 // The table's epoch when no more agents were found.
 	widenAt   time.Time
 	tellings  []*telling // By agent id.
 }
@@ -71,11 +72,47 @@
 
 // foretell returns how long a request that joins the stream now would wait.
 func (s *stream) foretell(now time.Time, cfg Config) time.Duration {
-	return s.pace.wait(now, s.waiting+1, cfg)
+	return s.pace.wait(now, s.pace.ahead(s)+s.waiting+1, cfg)
+}
+
+// refuseLate refuses waiting requests that can't meet their deadlines at the
+// present pace, the last of each stream first to be seen late.
+func (t *Table) refuseLate(now time.Time, e *cleat.Effects) {
+	for i := 0; i < len(t.active); i++ {
+		s := t.active[i]
+		if s.pace.wait(now, 1, t.cfg) == 0 {
+			continue
+		}
+		for _, r := range s.late(now, t.cfg) {
+			t.end(now, r, cleat.ReasonHopeless, r.ran(), e)
+		}
+		if i < len(t.active) && t.active[i] != s {
+			i--
+		}
+	}
+}
+
+// late lists the requests whose foretold wait is far over their time left.
+func (s *stream) late(now time.Time, cfg Config) []*request {
+	var late []*request
+	place := s.pace.ahead(s)
+	for _, r := range s.list {
+		if r == nil || r.phase != phaseWaiting {
+			continue
+		}
+		wait := s.pace.wait(now, place+1, cfg)
+		if wait.Seconds() > cfg.LateFactor*r.work.Deadline.Sub(now).Seconds() {
+			late = append(late, r)
+			continue
+		}
+		place++
+	}
+	return late
 }
 
 func (s *stream) activate(now time.Time, t *Table) {
-	s.spread = t.cfg.Spread
+	s.spread, s.lacking = t.cfg.Spread, 0
+	s.pace.streams = append(s.pace.streams, s)
 	s.widenAt = now.Add(t.cfg.WidenAfter)
 	if s.pace.since.IsZero() {
 		s.pace.since = now
@@ -91,12 +128,16 @@
 			break
 		}
 	}
-	for _, other := range t.active {
-		if other.pace == s.pace {
-			return
+	p := s.pace
+	for i, other := range p.streams {
+		if other == s {
+			p.streams = append(p.streams[:i], p.streams[i+1:]...)
+			break
 		}
 	}
-	s.pace.since = time.Time{}
+	if len(p.streams) == 0 {
+		p.since = time.Time{}
+	}
 }
 
 // insert keeps the list ordered by the time received.
--- a/queue/table.go
+++ b/queue/table.go
@@ -30,6 +30,8 @@
 	waiting    int
 	running    int
 	draining   bool
+	reviewAt   time.Time
+	epoch      uint64 // Rises when the agents to choose from may have changed.
 }
 
 // New returns an empty table of an entry; cfg must be valid.
@@ -46,6 +48,7 @@
 		agents:     map[cleat.InstanceID]*agent{},
 	}
 	t.limits.Defaults()
+	t.epoch = 1
 	return t
 }
 
@@ -91,7 +94,11 @@
 	var e cleat.Effects
 	t.expireDeadlines(now, &e)
 	t.expireAgents(now, &e)
-	t.expirePools(now, &e)
+	if now.Sub(t.reviewAt) >= t.cfg.ReviewInterval {
+		t.reviewAt = now
+		t.expirePools(now, &e)
+		t.refuseLate(now, &e)
+	}
 	t.resubmit(now)
 	t.widen(now)
 	e.Add(t.plan(now))
--- a/queue/workspace.go
+++ b/queue/workspace.go
@@ -57,6 +57,19 @@
 	rate  float64 // Dispatches in the window, fading.
 	at    time.Time
 	since time.Time // Since when something waits without a pause.
+
+	streams []*stream // With requests waiting.
+}
+
+// ahead counts the waiting requests of streams that go before s.
+func (p *pace) ahead(s *stream) int {
+	n := 0
+	for _, other := range p.streams {
+		if other != s && other.rank <= s.rank {
+			n += other.waiting
+		}
+	}
+	return n
 }
 
 func (p *pace) dispatched(now time.Time, window time.Duration) {
--- a/slots/config.go
+++ b/slots/config.go
@@ -20,19 +20,21 @@
 	StatePerEntry    time.Duration // Least time between any two states of this agent.
 	RememberAttempts time.Duration // How long an ended attempt stays known.
 	MaxRemembered    int
-	MaxPrefixes      int        // Cached digests known of one upstream.
-	StatePrefixes    int        // Digests in one state.
-	ClassCredit      cleat.Cost // For one share: how far the first class may run ahead of other workspaces.
-	ReturnSlack      cleat.Cost // For one share: what a workspace that waits elsewhere may lag behind.
-	AgeingAfter      time.Duration
-	ChargeAhead      float64 // Charged beyond what a stream that outran its estimate has used.
+	MaxPrefixes      int           // Cached digests known of one upstream.
+	StatePrefixes    int           // Digests in one state.
+	ClassCredit      cleat.Cost    // For one share: how far the first class may run ahead of other workspaces.
+	ReturnSlack      cleat.Cost    // For one share: what a workspace that waits elsewhere may lag behind.
+	AgeingAfter      time.Duration // That raises a waiting class by one rank.
+	StarveAfter      time.Duration // Without any service, after which a waiting workspace goes first once.
+	AloneAfter       time.Duration // After which an agent that hears no relay trusts its own totals.
+	ChargeAhead      float64       // Charged beyond what a stream that outran its estimate has used.
 	Admit            admit.Config
 }
 
 // Defaults sets what is left out.
 func (c *Config) Defaults() {
-	setDuration(&c.GrantLifetime, 500*time.Millisecond)
-	setDuration(&c.GrantSlack, 500*time.Millisecond)
+	setDuration(&c.GrantLifetime, 250*time.Millisecond)
+	setDuration(&c.GrantSlack, 250*time.Millisecond)
 	setDuration(&c.UpstreamTimeout, 3*time.Second)
 	setDuration(&c.AskMin, 100*time.Millisecond)
 	setDuration(&c.AskMax, 2*time.Second)
@@ -40,6 +42,8 @@
 	setDuration(&c.StatePerEntry, 100*time.Millisecond)
 	setDuration(&c.RememberAttempts, 15*time.Minute)
 	setDuration(&c.AgeingAfter, 30*time.Second)
+	setDuration(&c.StarveAfter, 30*time.Second)
+	setDuration(&c.AloneAfter, 15*time.Second)
 	if c.MaxRemembered == 0 {
 		c.MaxRemembered = 100000
 	}
--- a/slots/entry.go
+++ b/slots/entry.go
@@ -18,7 +18,8 @@
 	out         []cleat.Grant
 	stateSeq    uint64
 	toldAt      time.Time
-	due         bool // A state is to be sent.
+	due         bool                        // A state is to be sent.
+	told        map[cleat.UpstreamID]uint64 // Prefixes added until the last state.
 }
 
 // EntryUp notes that the link to an entry is up and sends it this agent's state.
@@ -34,10 +35,12 @@
 		t.voidEntry(now, e)
 		e.incarnation, e.seq = p.Incarnation, 0
 	}
+	if t.started.IsZero() {
+		t.started = now
+	}
 	e.up = true
 	e.toldAt = now
 	e.due = false
-	t.forgetPrefixesTold(e)
 	return cleat.Effects{Sends: []cleat.Send{{To: e.id, Message: t.state(e, true)}}}
 }
 
@@ -107,7 +110,7 @@
 		e.order = append(e.order, o)
 	}
 	if m.Waiting > 0 && !f.item.Queued() {
-		t.arrive(f, m.Busy)
+		t.arrive(now, f, m.Busy)
 	}
 	o.waiting, o.head, o.rank, o.affinity = int(m.Waiting), m.Head, m.Rank, m.Affinity
 	o.since = now.Add(-m.Age)
--- a/slots/flow.go
+++ b/slots/flow.go
@@ -21,6 +21,9 @@
 	flying  float64 // Charged for running attempts, for one share.
 	running int
 	served  uint64
+
+	servedAt time.Time // When it last got service anywhere, or began to wait here.
+	starved  bool      // It goes first until it gets a grant.
 }
 
 // lane is a workspace's offers for one model or pool.
@@ -91,6 +94,10 @@
 // place moves the workspace and its lanes to where its service puts them.
 func (t *Table) place(f *flow) {
 	v, backlogged := f.virtual(), false
+	first := v
+	if f.starved {
+		first = starvedKey
+	}
 	for _, l := range f.lanes {
 		h := t.pool(l.key)
 		if len(l.offers) == 0 {
@@ -98,7 +105,7 @@
 			continue
 		}
 		backlogged = true
-		h.Set(l.item, v-fair.ClassCredit(t.cfg.ClassCredit, l.bestRank()))
+		h.Set(l.item, first-fair.ClassCredit(t.cfg.ClassCredit, l.bestRank()))
 	}
 	if backlogged {
 		t.backlog.Set(f.item, v)
@@ -178,7 +185,11 @@
 // arrive raises a workspace that was not backlogged here: to the least served
 // of the backlogged when it just began to wait, else only to within the slack
 // of them, since it may have waited at other agents.
-func (t *Table) arrive(f *flow, busy time.Duration) {
+func (t *Table) arrive(now time.Time, f *flow, busy time.Duration) {
+	f.servedAt = now
+	if !t.book.Ready() && now.Sub(t.started) < t.cfg.AloneAfter {
+		return
+	}
 	floor := t.lastV
 	if least := t.backlog.Min(); least != nil {
 		floor = least.Key()
@@ -193,6 +204,27 @@
 // returned from idle.
 const freshBound = 100 * time.Millisecond
 
+// raiseStarved lets a workspace go first once that has waited long without any
+// service, whatever its totals say.
+func (t *Table) raiseStarved(now time.Time) {
+	if now.Sub(t.auditAt) < auditInterval {
+		return
+	}
+	t.auditAt = now
+	for _, f := range t.flowOrder {
+		if f.item.Queued() && !f.starved && now.Sub(f.servedAt) > t.cfg.StarveAfter {
+			f.starved = true
+			t.place(f)
+		}
+	}
+}
+
+// auditInterval is the time between two searches for starved workspaces.
+const auditInterval = time.Second
+
+// starvedKey lies below every key that service can give.
+const starvedKey = -1e18
+
 // charge books service to a workspace.
 func (t *Table) charge(f *flow, service float64) {
 	if service >= 0 {
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -75,7 +75,10 @@
 
 func (t *Table) lend(now time.Time, u *upstream, o *offer) {
 	f := o.lane.flow
-	t.lastV = f.virtual()
+	if !f.starved {
+		t.lastV = f.virtual()
+	}
+	f.starved, f.servedAt = false, now
 	t.lastGrant++
 	g := &grant{
 		id: t.lastGrant, offer: o, upstream: u,
--- a/slots/prefix.go
+++ b/slots/prefix.go
@@ -2,13 +2,13 @@
 
 import "marigoldcleat.example/cleat"
 
-// prefixes is what is known of an upstream's cache, oldest first.
+// prefixes is what is known of an upstream's cache.
 type prefixes struct {
-	seq   uint64
-	known map[uint64]bool
-	order []uint64
-	fresh []uint64 // Added since the last state.
-	lost  bool     // All was forgotten since the last state.
+	seq       uint64
+	known     map[uint64]bool
+	order     []uint64 // Oldest first.
+	added     uint64   // Digests ever added; the last of order has this number.
+	forgotten uint64   // The value of added when all was forgotten.
 }
 
 // event applies a cache event; after a gap in Seq nothing earlier is believed.
@@ -36,31 +36,31 @@
 		}
 		p.known[d] = true
 		p.order = append(p.order, d)
-		p.fresh = append(p.fresh, d)
+		p.added++
 	}
 	for len(p.order) > most {
 		delete(p.known, p.order[0])
 		p.order = p.order[1:]
 	}
-	if len(p.fresh) > most {
-		p.fresh = append([]uint64(nil), p.fresh[len(p.fresh)-most:]...)
-	}
 }
 
 func (p *prefixes) forget() {
-	p.known, p.order, p.fresh, p.lost = map[uint64]bool{}, nil, nil, true
+	p.known, p.order, p.forgotten = map[uint64]bool{}, nil, p.added+1
+	p.added++
 }
 
-// newest returns up to n digests that are still cached, newest last.
-func (p *prefixes) newest(list []uint64, n int) []uint64 {
+// since returns the newest digests, at most n, that were added after the first
+// number of them and are still cached.
+func (p *prefixes) since(number uint64, n int) []uint64 {
+	from := max(0, len(p.order)-n)
+	if fresh := p.added - min(number, p.added); uint64(len(p.order)) > fresh {
+		from = max(from, len(p.order)-int(fresh))
+	}
 	var out []uint64
-	for i := len(list) - 1; i >= 0 && len(out) < n; i-- {
-		if p.known[list[i]] {
-			out = append(out, list[i])
+	for _, d := range p.order[from:] {
+		if p.known[d] {
+			out = append(out, d)
 		}
 	}
-	for i, j := 0, len(out)-1; i < j; i, j = i+1, j-1 {
-		out[i], out[j] = out[j], out[i]
-	}
 	return out
 }
--- a/slots/state.go
+++ b/slots/state.go
@@ -6,17 +6,20 @@
 	"marigoldcleat.example/cleat"
 )
 
-// state builds the agent's state for an entry; a whole one replaces all that
-// the entry knew.
+// state builds the agent's state for an entry, with the prefixes added since
+// the last; a whole one replaces all that the entry knew.
 func (t *Table) state(e *entry, whole bool) *cleat.AgentState {
+	if whole || e.told == nil {
+		e.told = map[cleat.UpstreamID]uint64{}
+	}
 	e.stateSeq++
 	m := &cleat.AgentState{Incarnation: t.self.Incarnation, Seq: e.stateSeq, Domain: t.self.Domain}
 	for _, u := range t.ups {
 		s := u.state()
-		if whole {
-			s.Forget = true
-			s.Prefixes = u.prefixes.newest(u.prefixes.order, t.cfg.StatePrefixes)
-		}
+		since, known := e.told[u.id]
+		s.Forget = whole || !known || since < u.prefixes.forgotten
+		s.Prefixes = u.prefixes.since(since, t.cfg.StatePrefixes)
+		e.told[u.id] = u.prefixes.added
 		m.Upstreams = append(m.Upstreams, s)
 	}
 	return m
@@ -29,13 +32,13 @@
 	}
 }
 
-func (t *Table) forgetPrefixesTold(*entry) {}
-
 // tell sends the state to one entry at a time, as the pace allows.
 func (t *Table) tell(now time.Time, e *cleat.Effects) {
 	for _, u := range t.ups {
-		if limit := u.limit(now); limit != u.admitted {
-			u.admitted = limit
+		limit := u.limit(now)
+		full, slow := u.used() >= limit, u.limiter.Slow()
+		if limit != u.admitted || full != u.full || slow != u.slow {
+			u.admitted, u.full, u.slow = limit, full, slow
 			t.stateDue()
 		}
 	}
@@ -46,7 +49,7 @@
 			continue
 		}
 		ent.due, ent.toldAt, t.stateAt = false, now, now
-		e.Sends = append(e.Sends, cleat.Send{To: ent.id, Message: t.state(ent, true)})
+		e.Sends = append(e.Sends, cleat.Send{To: ent.id, Message: t.state(ent, false)})
 	}
 }
 
--- a/slots/table.go
+++ b/slots/table.go
@@ -37,6 +37,8 @@
 	past      memory
 	lastV     float64 // Virtual service of the last workspace picked.
 	draining  bool
+	started   time.Time // First tick.
+	auditAt   time.Time
 	askAt     time.Time
 	askPause  time.Duration
 	nextAsk   int
@@ -92,9 +94,13 @@
 // Tick expires grants, frees lost upstreams, asks for work and tells entries
 // what changed; the role calls it every 10 ms.
 func (t *Table) Tick(now time.Time) cleat.Effects {
+	if t.started.IsZero() {
+		t.started = now
+	}
 	t.expireGrants(now)
 	t.expireUpstreams(now)
 	t.past.expire(now)
+	t.raiseStarved(now)
 	e := t.grant(now)
 	t.ask(now, &e)
 	t.tell(now, &e)
@@ -120,6 +126,7 @@
 func (t *Table) Sums(now time.Time, m *cleat.LedgerSums) cleat.Effects {
 	for _, a := range t.book.Sums(m) {
 		if f, ok := t.flows[a.Workspace()]; ok {
+			f.servedAt = now
 			t.place(f)
 		}
 	}
--- a/slots/upstream.go
+++ b/slots/upstream.go
@@ -16,7 +16,9 @@
 	models   []cleat.ModelID
 	pools    []*fair.Heap // Of its models.
 	limiter  *admit.Limiter
-	admitted int // The limit as last told.
+	admitted int // The limit as last looked at, as are the next two.
+	full     bool
+	slow     bool
 	running  int
 	granted  int
 	heard    time.Time
