--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/labstack/echo/v4"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/node"
 	"marigoldcleat.example/cleat/slots"
 	"marigoldcleat.example/cleat/telem"
 	"marigoldcleat.example/cleat/wire"
@@ -39,6 +40,7 @@
 	web     *http.Server
 	webAddr net.Listener
 	gates   *orderGates
+	control *node.Client // Nil without control.
 	workers sync.WaitGroup
 	done    chan struct{} // Closed when drained or closed.
 	ended   sync.Once
@@ -48,7 +50,6 @@
 	entries  map[cleat.InstanceID]cleat.Link
 	engines  map[cleat.UpstreamID]*upstream
 	runs     map[cleat.Attempt]*run
-	report   func(*cleat.LedgerReport)
 	draining bool
 	aborted  bool
 }
@@ -80,9 +81,22 @@
 	}
 	rnd := rand.New(rand.NewSource(int64(cfg.Peer.Incarnation)))
 	a.table = slots.New(cfg.Slots, a.cfg.Peer, rnd)
+	a.connect()
 	return a, nil
 }
 
+// connect makes the client to control instances, if there are any.
+func (a *Agent) connect() {
+	if len(a.cfg.Control.Controls) == 0 {
+		return
+	}
+	cfg := a.cfg.Control
+	cfg.Register = a.Registration
+	a.control = node.New(cfg, a.cfg.Wire, a.Peer, a.clock, a.log)
+	a.control.OnSums(a.Sums)
+	a.control.OnOrder(a.Order)
+}
+
 func (a *Agent) bind() error {
 	server, err := wire.Listen(a.cfg.Wire, a.cfg.Listen, a.Peer, a, a.log)
 	if err != nil {
@@ -108,28 +122,25 @@
 // HTTPAddr returns where the agent serves HTTP, as host:port.
 func (a *Agent) HTTPAddr() string { return a.webAddr.Addr().String() }
 
-// OnReport makes report receive the agent's service totals, to be sent to a control instance.
-func (a *Agent) OnReport(report func(*cleat.LedgerReport)) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.report = report
-}
-
 // Run serves until the agent is drained, which returns nil, or closed, or fails.
 func (a *Agent) Run() error {
 	errs := make(chan error, 2)
 	go func() { errs <- a.server.Serve() }()
 	go func() { errs <- a.serveWeb() }()
-	stop := make(chan struct{})
-	var ticker sync.WaitGroup
-	ticker.Go(func() { a.tick(stop) })
+	ctx, stop := context.WithCancel(context.Background())
+	var helpers sync.WaitGroup
+	helpers.Go(func() { a.tick(ctx.Done()) })
+	if a.control != nil {
+		helpers.Go(func() { _ = a.control.Run(ctx) })
+	}
 	var err error
 	select {
 	case err = <-errs:
 	case <-a.done:
 	}
-	close(stop)
-	ticker.Wait()
+	a.sendReport(a.clock.Now())
+	stop()
+	helpers.Wait()
 	return trace.NewAggregate(err, a.shutdown())
 }
 
--- a/agent/api.go
+++ b/agent/api.go
@@ -78,6 +78,7 @@
 func (a *Agent) addEngine(m cleat.Announcement) error {
 	u := a.engines[m.Upstream]
 	if u != nil && u.announced.Address == m.Address && u.announced.CanResume == m.CanResume {
+		u.announced = m
 		return nil
 	}
 	if u == nil && len(a.engines) >= maxUpstreams {
@@ -119,14 +120,16 @@
 func (a *Agent) Registration() cleat.Register {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r := cleat.Register{Peer: a.cfg.Peer, Leaving: a.draining, Status: a.table.Status()}
+	r := cleat.Register{Leaving: a.draining, Status: a.table.Status()}
 	for _, u := range a.table.Upstreams() {
-		for _, m := range u.Models {
-			if !slices.Contains(r.Models, m) {
-				r.Models = append(r.Models, m)
-			}
+		hosted := cleat.HostedUpstream{Upstream: u.Upstream, Kind: u.Kind, Models: u.Models, Leaving: u.Leaving}
+		if known := a.engines[u.Upstream]; known != nil {
+			hosted.CanLoad = known.announced.CanLoad
 		}
+		r.Upstreams = append(r.Upstreams, hosted)
+		r.Models = append(r.Models, u.Models...)
 	}
 	slices.Sort(r.Models)
+	r.Models = slices.Compact(r.Models)
 	return r
 }
--- a/agent/config.go
+++ b/agent/config.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/node"
 	"marigoldcleat.example/cleat/slots"
 	"marigoldcleat.example/cleat/wire"
 )
@@ -38,6 +39,7 @@
 	HTTP         string     // For announcements, health and metrics, as host:port.
 	Wire         wire.Config
 	Slots        slots.Config
+	Control      node.Config   // Without addresses the agent does without control.
 	BufferBytes  int           // Answer bytes kept for each request until its entry has them.
 	ResumeGrace  time.Duration // A run outlives its entry's link for so long.
 	FinishGrace  time.Duration // A non-repeatable run may outlive its deadline for so long.
@@ -49,6 +51,7 @@
 func (c *Config) Defaults() {
 	c.Wire.Defaults()
 	c.Slots.Defaults()
+	c.Control.Defaults()
 	if c.Listen == "" {
 		c.Listen = "127.0.0.1:0"
 	}
@@ -81,5 +84,10 @@
 	if err := c.Slots.Validate(); err != nil {
 		return trace.Wrap(err)
 	}
+	if len(c.Control.Controls) > 0 {
+		if err := c.Control.Validate(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	return trace.Wrap(c.Wire.Validate())
 }
--- a/agent/tick.go
+++ b/agent/tick.go
@@ -67,15 +67,14 @@
 }
 
 func (a *Agent) sendReport(now time.Time) {
-	a.mu.Lock()
-	report := a.report
-	var m *cleat.LedgerReport
-	if report != nil {
-		m = a.table.Report(now)
+	if a.control == nil {
+		return
 	}
+	a.mu.Lock()
+	m := a.table.Report(now)
 	a.mu.Unlock()
 	if m != nil {
-		report(m)
+		a.control.Report(m)
 	}
 }
 
--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -1,15 +1,74 @@
-// Command agent is not implemented yet.
+// Command agent runs the agent role beside one or more upstreams.
 package main
 
 import (
-	_ "github.com/alecthomas/kingpin/v2"
-	_ "github.com/charmbracelet/log"
-	_ "github.com/gravitational/trace"
-	_ "github.com/oklog/run"
-	_ "github.com/onsi/ginkgo/v2"
-	_ "github.com/onsi/gomega"
-
-	_ "marigoldcleat.example/cleat"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/agent"
+	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/telem"
 )
 
-func main() {}
+type options struct {
+	common       *telem.Flags
+	bufferBytes  int
+	resumeGrace  time.Duration
+	stallTimeout time.Duration
+}
+
+func main() {
+	app := kingpin.New("agent", "Runs requests at the upstreams beside it.")
+	o := options{common: telem.RegisterFlags(app)}
+	app.Flag("buffer-bytes", "Answer bytes kept for each request until its entry has them.").Envar("CLEAT_BUFFER_BYTES").Default("262144").IntVar(&o.bufferBytes)
+	app.Flag("resume-grace", "How long a request outlives its entry's link.").Envar("CLEAT_RESUME_GRACE").Default("10s").DurationVar(&o.resumeGrace)
+	app.Flag("stall-timeout", "Silence after which an upstream has failed a repeatable request.").Envar("CLEAT_STALL_TIMEOUT").Default("1m").DurationVar(&o.stallTimeout)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	logger, err := telem.NewLogger(os.Stderr, o.common)
+	app.FatalIfError(err, "")
+	telem.Exit(logger, run(o, logger))
+}
+
+func run(o options, logger *log.Logger) error {
+	cfg, err := o.config(time.Now())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	assert.SetHook(func(name, msg string) { logger.Error("invariant violated", "invariant", name, "detail", msg) })
+	a, err := agent.New(cfg, cleat.SystemClock{}, logger)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	addrs := []telem.Addr{{Name: "listen", Address: a.Addr()}, {Name: "http", Address: a.HTTPAddr()}}
+	if err := o.common.WriteAddrs(addrs...); err != nil {
+		return trace.Wrap(err)
+	}
+	logger.Info("agent started", "id", o.common.ID, "listen", a.Addr(), "http", a.HTTPAddr())
+	return telem.RunDaemon(logger, a)
+}
+
+func (o options) config(now time.Time) (agent.Config, error) {
+	if err := o.common.Validate(); err != nil {
+		return agent.Config{}, trace.Wrap(err)
+	}
+	links, err := o.common.Wire()
+	if err != nil {
+		return agent.Config{}, trace.Wrap(err)
+	}
+	cfg := agent.Config{
+		Peer:         o.common.Peer(now, cleat.RoleAgent, ""),
+		Listen:       o.common.Listen,
+		HTTP:         o.common.HTTP,
+		Wire:         links,
+		BufferBytes:  o.bufferBytes,
+		ResumeGrace:  o.resumeGrace,
+		StallTimeout: o.stallTimeout,
+	}
+	cfg.Control.Controls = o.common.Controls
+	return cfg, nil
+}
