--- a/queue/offer.go
+++ b/queue/offer.go
@@ -15,7 +15,7 @@
 	stream    *stream
 	left      int // What the agent believes is still waiting.
 	dirty     bool
-	asked     bool      // The agent asked for work.
+	toldAt    time.Time
 	heldUntil time.Time // After it granted a slot that nothing could use.
 }
 
@@ -79,9 +79,10 @@
 			told++
 		}
 	}
-	for told < s.spread {
+	for told < s.spread && s.lacking != t.epoch {
 		a := t.nearest(s)
 		if a == nil {
+			s.lacking = t.epoch
 			return
 		}
 		o := a.telling(s)
@@ -131,7 +132,7 @@
 	interval := now.Sub(a.sentAt) >= t.cfg.OfferInterval
 	send := a.whole
 	for _, o := range a.tellOrder {
-		o.review(now)
+		o.review(now, t.cfg.RefreshInterval)
 		send = send || (o.dirty && (interval || o.urgent()))
 	}
 	if !send {
@@ -141,7 +142,7 @@
 	m := &cleat.Offers{Incarnation: t.self.Incarnation, Seq: a.seq, Whole: a.whole}
 	for _, o := range a.tellOrder {
 		if o.dirty || (a.whole && o.left > 0) {
-			m.Offers = append(m.Offers, o.offer(now))
+			m.Offers = append(m.Offers, t.offer(now, o))
 		}
 	}
 	a.whole, a.sentAt = false, now
@@ -150,13 +151,15 @@
 }
 
 // review marks a telling that is too far from what waits.
-func (o *telling) review(now time.Time) {
+func (o *telling) review(now time.Time, refresh time.Duration) {
 	waiting := o.stream.waiting
 	switch {
 	case now.Before(o.heldUntil):
 		o.dirty = false
 	case o.left > 0 && (waiting >= 2*o.left || 2*waiting <= o.left):
 		o.dirty = true
+	case o.left > 0 && now.Sub(o.toldAt) >= refresh:
+		o.dirty = true
 	case o.left == 0 && waiting == 0:
 		o.dirty = false
 	}
@@ -167,15 +170,15 @@
 	return o.left == 0 && o.stream.waiting > 0
 }
 
-func (o *telling) offer(now time.Time) cleat.Offer {
+func (t *Table) offer(now time.Time, o *telling) cleat.Offer {
 	s := o.stream
 	m := cleat.Offer{Stream: s.key, Waiting: uint32(s.waiting), Rank: s.rank, Share: s.workspace.share}
 	if r := s.head(); r != nil && s.waiting > 0 {
-		m.Head, m.Age = r.work.Estimate, now.Sub(r.work.Received)
+		m.Head, m.Age = t.costs.Estimate(&r.work), now.Sub(r.work.Received)
 		m.Busy = now.Sub(s.workspace.busySince)
 		m.Affinity = o.affinity(r)
 	}
-	o.left, o.dirty, o.asked = s.waiting, false, false
+	o.left, o.dirty, o.toldAt = s.waiting, false, now
 	return m
 }
 
@@ -202,6 +205,7 @@
 			continue
 		}
 		delete(a.tellings, o.stream)
+		o.stream.lacking = 0
 		for i, other := range o.stream.tellings {
 			if other == o {
 				o.stream.tellings = append(o.stream.tellings[:i], o.stream.tellings[i+1:]...)
