ctrl: run one and three instances in tests, lose each in turn

Three instances on loopback with the real store in temporary folders; changes and claims go on while each in turn is cut from its disk, closed and started again. Replacing an instance waits until a replica that is no member makes itself known: for 3 s after a start the former replica's word was still held, and the change failed with 'is a member already'. The status of the log copies the list of candidates, on which the race detector saw a read and a write.

--- a/ctrl/address.go
+++ b/ctrl/address.go
@@ -19,6 +19,7 @@
 	listenFile    = "listen.addr"
 	httpFile      = "http.addr"
 	rootTokenFile = "root-token"
+	logFolder     = "log"
 )
 
 // bind takes the addresses; with port 0 those of the last start, if they are
--- a/ctrl/api_status.go
+++ b/ctrl/api_status.go
@@ -120,12 +120,12 @@
 	for _, other := range others {
 		gap = max(gap, level(r.relay.Total(other))-level(own))
 	}
-	return own.Service - own.Credit, gap
+	return own.Service, gap
 }
 
 // level is what fair sharing compares between workspaces.
 func level(t cleat.WorkspaceTotal) float64 {
-	return t.Service - t.Credit + t.Lift
+	return t.Service + t.Flying + t.Lift
 }
 
 func (r *Role) getControl(c echo.Context, _ caller) error {
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -34,6 +34,7 @@
 	Listen      string             // For links, as host:port; port 0 takes the port of the last start, else a free one.
 	HTTP        string             // For operators, as host:port; port 0 as for Listen.
 	DataFolder  string             // Where the log and the addresses are kept.
+	Disk        cleat.Disk         // For the log; nil for a folder inside DataFolder.
 	Controls    []string           // Link addresses of the other control instances, as host:port.
 	ControlFile string             // File with further link addresses, one a line, read again while running.
 	First       []cleat.InstanceID // The instances that form a new log together; empty to join one.
--- a/ctrl/replicas.go
+++ b/ctrl/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -103,6 +104,9 @@
 	if fresh, ok := r.findLearner(id); ok {
 		return fresh, nil
 	}
+	if err := r.announced(ctx, id); err != nil {
+		return "", trace.Wrap(err)
+	}
 	if err := r.retryStep(ctx, func() error { return r.host.AddLearner(ctx, id) }); err != nil {
 		return "", trace.Wrap(err)
 	}
@@ -113,6 +117,25 @@
 	return fresh, nil
 }
 
+// announced waits until an instance makes a replica known that is no member.
+func (r *Role) announced(ctx context.Context, id cleat.InstanceID) error {
+	for {
+		s := r.host.Status()
+		for _, other := range s.Candidates {
+			if other.Instance == id && !isMember(s.Members, other.Replica) {
+				return nil
+			}
+		}
+		if !sleep(ctx, catchUpInterval) {
+			return trace.NotFound("Role.announced: %s has not made a new replica known; look whether it is a member already", id)
+		}
+	}
+}
+
+func isMember(members []quorum.Member, id quorum.ReplicaID) bool {
+	return slices.ContainsFunc(members, func(m quorum.Member) bool { return m.Replica == id })
+}
+
 func (r *Role) findLearner(id cleat.InstanceID) (quorum.ReplicaID, bool) {
 	for _, m := range r.host.Status().Members {
 		if m.Instance == id && m.Learner {
--- a/ctrl/role.go
+++ b/ctrl/role.go
@@ -108,7 +108,7 @@
 }
 
 func (r *Role) open() error {
-	disk, err := store.NewFolder(r.cfg.DataFolder)
+	disk, err := r.disk()
 	if err != nil {
 		return err
 	}
@@ -126,6 +126,18 @@
 	return nil
 }
 
+// disk returns where the log is kept, apart from the other files of the data folder.
+func (r *Role) disk() (cleat.Disk, error) {
+	folder, err := store.NewFolder(r.file(logFolder))
+	if err != nil {
+		return nil, err
+	}
+	if r.cfg.Disk != nil {
+		return r.cfg.Disk, nil
+	}
+	return folder, nil
+}
+
 // maxCommandBytes leaves room for the largest change with its paths encoded.
 const maxCommandBytes = 3 << 20
 
--- /dev/null
+++ b/ctrl/role_test.go
@@ -0,0 +1,373 @@
+package ctrl_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/node"
+)
+
+func write(operation, path, value string) cleat.Change {
+	c := cleat.Change{Operation: operation, Ops: []cleat.ChangeOp{{Path: path}}}
+	if value != "" {
+		c.Ops[0].Value = json.RawMessage(value)
+	}
+	return c
+}
+
+func code(err error) admin.Code {
+	var failed *admin.Error
+	if errors.As(err, &failed) {
+		return failed.Problem.Code
+	}
+	return ""
+}
+
+// post sends a body as it is and returns the status of the answer.
+func post(f *fleet, path, body string) int {
+	req, err := http.NewRequest(http.MethodPost, f.instances[0].url()+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+f.token)
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+var _ = Describe("Role", func() {
+	ctx := context.Background()
+
+	Describe("alone", func() {
+		var f *fleet
+		BeforeEach(func() { f = newFleet("c1") })
+		AfterEach(func() { f.stop() })
+
+		It("puts changes in force on a node and shows what it runs", func() {
+			n, stop := f.startNode("entry", cleat.RoleEntry, node.Config{}, nil)
+			defer stop()
+			Eventually(func() bool { _, ok := n.Fleet(); return ok }, patience).Should(BeTrue())
+			r, err := f.client().Change(ctx, write("a", "/fleet/limits", `{"max_waiting":7}`))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(func() cleat.Revision { f, _ := n.Fleet(); return f.Revision() }, patience).Should(Equal(r.Revision))
+			fleet, _ := n.Fleet()
+			Expect(fleet.Limits().MaxWaiting).To(Equal(7))
+			var s admin.FleetStatus
+			Eventually(func() int {
+				Expect(f.client().Get(ctx, admin.PathStatus, nil, &s)).To(Succeed())
+				return s.Laggards
+			}, patience).Should(BeZero())
+			Expect(s.Nodes).To(HaveLen(1))
+			Expect(s.Nodes[0].Revision).To(Equal(r.Revision))
+		})
+
+		It("answers a resent change with its first answer and a racing one with the current value", func() {
+			c := f.client()
+			zero := cleat.Revision(0)
+			first := write("op-1", "/fleet/limits", `{"max_waiting":1}`)
+			first.Ops[0].Expected = &zero
+			r, err := c.Change(ctx, first)
+			Expect(err).NotTo(HaveOccurred())
+			racing := write("op-2", "/fleet/limits", `{"max_waiting":2}`)
+			racing.Ops[0].Expected = &zero
+			lost, err := c.Change(ctx, racing)
+			Expect(code(err)).To(Equal(admin.CodeRefused))
+			Expect(lost.Code).To(Equal(cleat.ChangeConflict))
+			Expect(string(lost.Conflict.Value)).To(Equal(`{"max_waiting":1}`))
+			again, err := c.Change(ctx, first)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(again.Revision).To(Equal(r.Revision))
+			_, err = c.Change(ctx, write("op-1", "/fleet/limits", ""))
+			Expect(code(err)).To(Equal(admin.CodeRefused))
+		})
+
+		It("keeps a team's token to its subtree", func() {
+			change := admin.TokenChange{
+				Operation: "t", Hash: cleat.HashKey("team"), Create: &config.Token{ID: "ring", Subtree: "/teams/ring", Write: true},
+			}
+			Expect(f.client().Post(ctx, admin.PathTokens, change, nil)).To(Succeed())
+			team := admin.NewClient([]string{f.instances[0].url()}, "team")
+			_, err := team.Change(ctx, write("1", "/teams/ring/workspaces/desk", `{}`))
+			Expect(err).NotTo(HaveOccurred())
+			r, err := team.Change(ctx, write("2", "/teams/lots/workspaces/desk", `{}`))
+			Expect(err).To(HaveOccurred())
+			Expect(r.Code).To(Equal(cleat.ChangeForbidden))
+			Expect(code(team.Get(ctx, admin.PathStatus, nil, nil))).To(Equal(admin.CodeForbidden))
+			q := url.Values{"path": {"/teams/lots/workspaces/desk"}}
+			Expect(code(team.Get(ctx, admin.PathSetting, q, nil))).To(Equal(admin.CodeForbidden))
+			stranger := admin.NewClient([]string{f.instances[0].url()}, "nobody")
+			Expect(code(stranger.Get(ctx, admin.PathSettings, nil, nil))).To(Equal(admin.CodeUnauthorised))
+			var tokens admin.Tokens
+			Expect(f.client().Get(ctx, admin.PathTokens, nil, &tokens)).To(Succeed())
+			Expect(tokens.Tokens).To(HaveLen(2))
+		})
+
+		It("tells a watcher of a change as it comes", func() {
+			c := f.client()
+			answer := make(chan admin.Watch, 1)
+			go func() {
+				defer GinkgoRecover()
+				w, err := c.Watch(ctx, "/fleet", 0, 10*time.Second)
+				Expect(err).NotTo(HaveOccurred())
+				answer <- w
+			}()
+			_, err := c.Change(ctx, write("w", "/fleet/limits", `{}`))
+			Expect(err).NotTo(HaveOccurred())
+			var w admin.Watch
+			Eventually(answer, patience).Should(Receive(&w))
+			Expect(w.Written).To(HaveLen(1))
+		})
+
+		It("refuses what it can't read without asking the log", func() {
+			for _, body := range []string{"nonsense", `{"unknown":1}`, `{"operation":"x","ops":[{"path":"/nowhere","value":{}}]}`} {
+				Expect(post(f, admin.PathChanges, body)).To(BeNumerically(">=", 400))
+			}
+			resp, err := http.Get(f.instances[0].url() + admin.PathSettings)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(http.StatusUnauthorized))
+		})
+
+		It("grants a claim once and answers repeats with the outcome", func() {
+			n, stop := f.startNode("entry", cleat.RoleEntry, node.Config{}, nil)
+			defer stop()
+			deadline := func() time.Time { return time.Now().Add(patience) }
+			m := cleat.Claim{Workspace: "ring/desk", Key: "k", Request: "r1", Digest: []byte("d")}
+			Expect(n.Claim(m, deadline()).State).To(Equal(cleat.ClaimGranted))
+			m.Request = "r2"
+			Expect(n.Claim(m, deadline()).State).To(Equal(cleat.ClaimRunning))
+			n.Record(cleat.ClaimOutcome{
+				Workspace: "ring/desk", Key: "k", Request: "r1", Outcome: cleat.OutcomeDone,
+				Answer: cleat.RecordedAnswer{Status: 201, Body: []byte("paid")},
+			})
+			Eventually(func() cleat.ClaimState { return n.Claim(m, deadline()).State }, patience).Should(Equal(cleat.ClaimDone))
+			Expect(n.Claim(m, deadline()).Answer.Body).To(Equal([]byte("paid")))
+		})
+
+		It("orders a load from an agent and takes its result", func() {
+			var mu sync.Mutex
+			models := []cleat.ModelID{}
+			register := func() cleat.Register {
+				mu.Lock()
+				defer mu.Unlock()
+				return cleat.Register{Upstreams: []cleat.HostedUpstream{{Upstream: "engine", Kind: cleat.KindModel, Models: models, CanLoad: true}}}
+			}
+			orders := make(chan cleat.Order, 10)
+			_, stop := f.startNode("agent", cleat.RoleAgent, node.Config{Register: register, StatusInterval: 100 * time.Millisecond}, func(c *node.Client) {
+				c.OnOrder(func(o cleat.Order) cleat.OrderResult {
+					orders <- o
+					mu.Lock()
+					defer mu.Unlock()
+					models = []cleat.ModelID{o.Model}
+					return cleat.OrderResult{Done: true}
+				})
+			})
+			defer stop()
+			_, err := f.client().Change(ctx, write("p", "/fleet/placement/catalogue", `{"min":1,"max":1}`))
+			Expect(err).NotTo(HaveOccurred())
+			var o cleat.Order
+			Eventually(orders, patience).Should(Receive(&o))
+			Expect(o.Model).To(Equal(cleat.ModelID("catalogue")))
+			Expect(o.Fence).NotTo(BeZero())
+			var s admin.FleetStatus
+			Eventually(func() int {
+				Expect(f.client().Get(ctx, admin.PathStatus, nil, &s)).To(Succeed())
+				return len(s.Orders)
+			}, patience).Should(BeZero())
+		})
+	})
+
+	Describe("in three instances", func() {
+		It("loses nothing accepted when each is lost in turn while changes go on", func() {
+			f := newFleet("c1", "c2", "c3")
+			defer f.stop()
+			n, stop := f.startNode("entry", cleat.RoleEntry, node.Config{}, nil)
+			defer stop()
+			w := newWriter(f, n)
+			w.start()
+			for _, i := range f.instances {
+				i.kill()
+				w.progress(10)
+				i.start()
+				w.progress(10)
+			}
+			w.stop()
+			w.verify(ctx)
+		})
+
+		It("shows members that register elsewhere and keeps them over a restart", func() {
+			f := newFleet("c1", "c2", "c3")
+			defer f.stop()
+			var mu sync.Mutex
+			least, seen := 0, map[string]int{}
+			for i := range 5 {
+				name := fmt.Sprint("n", i)
+				_, stop := f.startNode(name, cleat.RoleAgent, node.Config{}, func(c *node.Client) {
+					c.OnMembers(func(list []cleat.Member) {
+						mu.Lock()
+						defer mu.Unlock()
+						seen[name] = len(list)
+					})
+				})
+				defer stop()
+			}
+			all := func() int {
+				mu.Lock()
+				defer mu.Unlock()
+				least = 99
+				for i := range 5 {
+					least = min(least, seen[fmt.Sprint("n", i)])
+				}
+				return least
+			}
+			Eventually(all, patience).Should(Equal(5))
+			for _, i := range f.instances {
+				i.stop()
+			}
+			for _, i := range f.instances {
+				i.start()
+			}
+			Consistently(all, 5*time.Second).Should(Equal(5))
+		})
+
+		It("replaces an instance that lost its disk", func() {
+			f := newFleet("c1", "c2", "c3")
+			defer f.stop()
+			_, err := f.client().Change(ctx, write("before", "/fleet/limits", `{"max_waiting":5}`))
+			Expect(err).NotTo(HaveOccurred())
+			f.instances[2].stop()
+			f.instances[2] = newInstance("c3", []cleat.InstanceID{"c1", "c2", "c3"}, GinkgoT().TempDir(), f.controlFile())
+			f.instances[2].start()
+			f.announce()
+			replace := admin.ReplicaChange{Action: cleat.ReplicaReplace, Instance: "c3"}
+			Expect(f.client().Post(ctx, admin.PathReplicas, replace, nil)).To(Succeed())
+			f.instances[0].stop()
+			f.instances[0].start()
+			f.instances[1].stop()
+			alone := admin.NewClient([]string{f.instances[2].url()}, f.token)
+			var s cleat.Setting
+			Eventually(func() error {
+				return alone.Get(ctx, admin.PathSetting, url.Values{"path": {"/fleet/limits"}}, &s)
+			}, patience).Should(Succeed())
+			Expect(string(s.Value)).To(Equal(`{"max_waiting":5}`))
+			f.instances[1].start()
+		})
+	})
+})
+
+// writer makes changes and claims until stopped and remembers what was accepted.
+type writer struct {
+	fleet  *fleet
+	client *admin.Client
+	node   *node.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu      sync.Mutex
+	changes map[string]cleat.ChangeResult
+	paid    map[string]bool
+}
+
+func newWriter(f *fleet, n *node.Client) *writer {
+	w := &writer{fleet: f, client: f.client(), node: n, changes: map[string]cleat.ChangeResult{}, paid: map[string]bool{}}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	return w
+}
+
+func (w *writer) start() {
+	w.done.Go(func() {
+		for i := 0; w.ctx.Err() == nil; i++ {
+			w.change(fmt.Sprint("c", i))
+		}
+	})
+	w.done.Go(func() {
+		for i := 0; w.ctx.Err() == nil; i++ {
+			w.pay(fmt.Sprint("p", i))
+		}
+	})
+}
+
+func pathOf(id string) string { return "/fleet/classes/" + id }
+
+func (w *writer) change(id string) {
+	r, err := w.client.Change(w.ctx, write(id, pathOf(id), `{"rank":1}`))
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.changes[id] = r
+}
+
+func (w *writer) pay(key string) {
+	m := cleat.Claim{Workspace: "ring/desk", Key: key, Request: cleat.RequestID(key)}
+	if w.node.Claim(m, time.Now().Add(patience)).State != cleat.ClaimGranted {
+		return
+	}
+	w.node.Record(cleat.ClaimOutcome{
+		Workspace: m.Workspace, Key: key, Request: m.Request, Outcome: cleat.OutcomeDone, Answer: cleat.RecordedAnswer{Status: 200},
+	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paid[key] = true
+}
+
+func (w *writer) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(len(w.changes), len(w.paid))
+}
+
+// progress waits until n more changes and claims were accepted.
+func (w *writer) progress(n int) {
+	before := w.count()
+	Eventually(w.count, patience).Should(BeNumerically(">=", before+n))
+}
+
+func (w *writer) stop() {
+	w.cancel()
+	w.done.Wait()
+}
+
+// verify checks that every instance has all that was accepted.
+func (w *writer) verify(ctx context.Context) {
+	for _, i := range w.fleet.instances {
+		c := admin.NewClient([]string{i.url()}, w.fleet.token)
+		var list admin.Settings
+		Eventually(func() error { return c.Get(ctx, admin.PathSettings, nil, &list) }, patience).Should(Succeed())
+		have := make(map[string]cleat.Revision)
+		for _, s := range list.Settings {
+			have[s.Path] = s.Revision
+		}
+		for id, r := range w.changes {
+			Expect(have).To(HaveKeyWithValue(pathOf(id), r.Revision))
+		}
+	}
+	for id, r := range w.changes {
+		again, err := w.client.Change(ctx, write(id, pathOf(id), `{"rank":1}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Revision).To(Equal(r.Revision))
+		break
+	}
+	for key := range w.paid {
+		m := cleat.Claim{Workspace: "ring/desk", Key: key, Request: "again"}
+		Eventually(func() cleat.ClaimState { return w.node.Claim(m, time.Now().Add(patience)).State }, patience).Should(Equal(cleat.ClaimDone))
+	}
+	f, ok := w.node.Fleet()
+	Expect(ok).To(BeTrue())
+	Expect(f.Revision()).NotTo(BeZero())
+	GinkgoWriter.Printf("%d changes and %d claims accepted\n", len(w.changes), len(w.paid))
+}
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"slices"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -58,7 +59,7 @@
 		Lease:      lease,
 		Halted:     c.halted,
 		Followers:  c.followers(now),
-		Candidates: r.candidates,
+		Candidates: slices.Clone(r.candidates),
 	}
 }
 
