gauge: link relays as the control role does

A relay that comes back hears the others' whole totals, and a feed is forgotten when its agent's link breaks.

--- a/cmd/gauge/bench/ours.go
+++ b/cmd/gauge/bench/ours.go
@@ -514,6 +514,7 @@
 }
 
 func (h *controlHost) sums() {
+	h.relay.Forget(h.p.s.w.now)
 	for _, id := range sortedInstances(h.serves) {
 		if m := h.relay.Sums(h.p.s.w.now, id); m != nil {
 			h.p.net.send(h.peer.Instance, id, m)
@@ -521,9 +522,19 @@
 	}
 }
 
-func (*controlHost) linkUp(cleat.Peer) {}
+func (h *controlHost) linkUp(p cleat.Peer) {
+	if p.Role != cleat.RoleControl {
+		return
+	}
+	for _, m := range h.relay.Whole() {
+		h.p.net.send(h.peer.Instance, p.Instance, m)
+	}
+}
 
-func (h *controlHost) linkDown(id cleat.InstanceID) { delete(h.serves, id) }
+func (h *controlHost) linkDown(id cleat.InstanceID) {
+	delete(h.serves, id)
+	h.relay.Unlink(id)
+}
 
 func (h *controlHost) message(from cleat.InstanceID, m cleat.Message) {
 	report, ok := m.(*cleat.LedgerReport)
