route: link an entry to a subset of a large fleet's agents

Cause: at the planned size each entry would keep links to all 300 agents, and states and keepalives grow with entries times agents.

--- a/cmd/gauge/bench/ours.go
+++ b/cmd/gauge/bench/ours.go
@@ -7,6 +7,7 @@
 	"marigoldcleat.example/cleat"
 	"marigoldcleat.example/cleat/ledger"
 	"marigoldcleat.example/cleat/queue"
+	"marigoldcleat.example/cleat/route"
 	"marigoldcleat.example/cleat/slots"
 )
 
@@ -65,11 +66,10 @@
 // connect links every entry to its subset of agents and every instance to the
 // control instances.
 func (p *ours) connect() {
+	members := p.members()
 	for _, e := range p.entries {
-		for _, a := range p.agents {
-			if p.talks(e.n, a.n) {
-				p.net.connect(e.peer.Instance, a.peer.Instance)
-			}
+		for _, id := range route.Subset(e.peer.Instance, members) {
+			p.net.connect(e.peer.Instance, id)
 		}
 		p.net.connect(e.peer.Instance, p.controls[e.n%len(p.controls)].peer.Instance)
 	}
@@ -85,7 +85,18 @@
 	}
 }
 
-func (p *ours) talks(_, _ int) bool { return true }
+// members lists the agents as control tells entries of them.
+func (p *ours) members() []cleat.Member {
+	var list []cleat.Member
+	for _, a := range p.agents {
+		m := cleat.Member{Peer: a.peer}
+		for _, e := range a.engines {
+			m.Models = append(m.Models, e.model)
+		}
+		list = append(list, m)
+	}
+	return list
+}
 
 func (p *ours) traffic() []Traffic { return p.net.traffic(p.s.w.now.Sub(p.started)) }
 
