--- a/queue/attempt.go
+++ b/queue/attempt.go
@@ -48,6 +48,7 @@
 
 func (o *telling) declined(now time.Time) {
 	o.left = 0
+	o.stream.lacking = 0
 	if o.stream.waiting > 0 {
 		o.heldUntil = now.Add(avoidHold)
 	}
@@ -117,12 +118,14 @@
 	t.leave(now, r)
 	r.phase, r.agent, r.upstream, r.incarnation = phaseRunning, a, g.Upstream, a.incarnation
 	r.attempt++
+	r.work.Estimate = t.costs.Estimate(&r.work)
 	r.started, r.begun = now, false
 	t.running++
 	s.workspace.running++
 	a.attempts[r.work.ID] = r
 	if o, ok := a.tellings[s]; ok {
 		o.left = max(0, o.left-1)
+		s.lacking = 0
 	}
 	if u := a.upstream(g.Upstream); u != nil {
 		u.started++
@@ -189,9 +192,6 @@
 }
 
 func (t *Table) conclude(now time.Time, r *request, o cleat.Outcome, e *cleat.Effects) {
-	if u := r.agent.upstream(r.upstream); u != nil {
-		u.started--
-	}
 	switch o.Kind {
 	case cleat.OutcomeDone:
 		t.costs.Learn(&r.work, o.Usage.Cost(r.work.Kind))
