gauge: give the oracle the fleet's own estimates

Cause: the oracle predicted costs by a plain mean, so part of the difference was the estimator's. Change: it uses the cost package, and the ledger's own report interval.

--- a/cmd/gauge/bench/central.go
+++ b/cmd/gauge/bench/central.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/cost"
 )
 
 // PolicyName names a policy that a run may be measured under.
@@ -33,18 +34,12 @@
 	setLeaving(e *engine, leaving bool)
 }
 
-// estimator predicts a request's cost and learns from finished ones.
-type estimator interface {
-	Estimate(w cleat.Work) cleat.Cost
-	Learn(w cleat.Work, actual cleat.Cost)
-}
-
 // central decides with one table that sees everything at once; it serves as
 // the oracle and, with less sight, as the baselines.
 type central struct {
 	s        *sim
 	name     PolicyName
-	est      estimator
+	est      *cost.Estimator
 	books    []*book    // One for all, or one for each entry under local-fair.
 	waiting  []*arrival // In order of arrival.
 	atEngine map[*engine][]*arrival
@@ -84,7 +79,7 @@
 	amount float64
 }
 
-func newCentral(s *sim, name PolicyName, est estimator) *central {
+func newCentral(s *sim, name PolicyName, est *cost.Estimator) *central {
 	c := &central{s: s, name: name, est: est, atEngine: make(map[*engine][]*arrival)}
 	n := 1
 	if name == PolicyLocalFair {
@@ -215,7 +210,7 @@
 func (c *central) start(e *engine, a *arrival) {
 	r := &run{a: a, ctx: &charged{book: c.book(a)}}
 	c.s.m.started(a)
-	c.charge(r, float64(c.est.Estimate(a.work)))
+	c.charge(r, float64(c.est.Estimate(&a.work)))
 	e.start(r)
 }
 
@@ -237,7 +232,7 @@
 func (c *central) ended(e *engine, r *run) {
 	used := r.usage().Cost(r.a.work.Kind)
 	c.charge(r, float64(used))
-	c.est.Learn(r.a.work, used)
+	c.est.Learn(&r.a.work, used)
 	c.s.m.finished(r.a)
 	c.fill(e)
 }
@@ -301,41 +296,3 @@
 func (*central) restartControl() {}
 
 func (c *central) setLeaving(e *engine, _ bool) { c.fill(e) }
-
-// ewma predicts by a decaying mean for each workspace, class and model.
-type ewma struct {
-	means map[ewmaKey]float64
-}
-
-type ewmaKey struct {
-	workspace cleat.WorkspaceID
-	class     cleat.ClassName
-	model     cleat.ModelID
-}
-
-const (
-	ewmaWeight  = 0.1
-	ewmaUnknown = 200
-)
-
-func newEWMA() *ewma { return &ewma{means: make(map[ewmaKey]float64)} }
-
-func (e *ewma) key(w cleat.Work) ewmaKey { return ewmaKey{w.Workspace, w.Class, w.Model} }
-
-// Estimate returns the mean cost of such requests, in cost units.
-func (e *ewma) Estimate(w cleat.Work) cleat.Cost {
-	if m, ok := e.means[e.key(w)]; ok {
-		return cleat.Cost(m)
-	}
-	return ewmaUnknown
-}
-
-// Learn takes a finished request's cost into the mean.
-func (e *ewma) Learn(w cleat.Work, actual cleat.Cost) {
-	k := e.key(w)
-	m, ok := e.means[k]
-	if !ok {
-		m = float64(actual)
-	}
-	e.means[k] = m + ewmaWeight*(float64(actual)-m)
-}
--- a/cmd/gauge/bench/estimate.go
+++ /dev/null
@@ -1,3 +0,0 @@
-package bench
-
-func newEstimator() estimator { return newEWMA() }
--- a/cmd/gauge/bench/ours.go
+++ b/cmd/gauge/bench/ours.go
@@ -14,7 +14,6 @@
 // Timing of the roles around the deciding code.
 const (
 	tickEvery     = 10 * time.Millisecond
-	reportEvery   = 500 * time.Millisecond
 	announceEvery = time.Second
 	registerEvery = time.Second
 	cancelGrace   = 5 * time.Second // Before an agent cancels what a lost entry left.
@@ -289,7 +288,7 @@
 	first := time.Duration(n+1) * 700 * time.Microsecond
 	p.s.w.every(first, tickEvery, func() { h.do(h.table.Tick(h.now())) })
 	p.s.w.every(first, announceEvery, h.announceAll)
-	p.s.w.every(first+time.Duration(n)*17*time.Millisecond%reportEvery, reportEvery, h.report)
+	p.s.w.every(first+time.Duration(n)*17*time.Millisecond%ledger.ReportInterval, ledger.ReportInterval, h.report)
 	p.s.w.every(registerEvery, registerEvery, func() { p.register(h.station) })
 	return h
 }
@@ -508,7 +507,7 @@
 	h.peer = p.peer(cleat.RoleControl, n)
 	h.station = p.net.add(h.peer, p.s.o.Deployment.domain(n), h)
 	h.reset()
-	p.s.w.every(reportEvery/2, reportEvery, h.sums)
+	p.s.w.every(ledger.ReportInterval/2, ledger.ReportInterval, h.sums)
 	return h
 }
 
--- a/cmd/gauge/bench/result.go
+++ b/cmd/gauge/bench/result.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/cost"
 )
 
 // Spread is a distribution by its quantiles, in seconds.
@@ -81,7 +82,7 @@
 		traffic = p.traffic
 		s.play(p)
 	} else {
-		s.play(newCentral(s, name, newEstimator()))
+		s.play(newCentral(s, name, cost.NewEstimator()))
 	}
 	r := s.result(name)
 	if traffic != nil {
