--- /dev/null
+++ b/wire/bench_test.go
@@ -0,0 +1,59 @@
+package wire_test
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/wire"
+)
+
+// counter is a handler that counts messages.
+type counter struct {
+	link atomic.Pointer[cleat.Link]
+	n    atomic.Int64
+}
+
+func (c *counter) LinkUp(l cleat.Link)                   { c.link.Store(&l) }
+func (c *counter) LinkMessage(cleat.Link, cleat.Message) { c.n.Add(1) }
+func (c *counter) LinkDown(cleat.Link, error)            {}
+func (c *counter) wait(b *testing.B, condition func() bool) {
+	for end := time.Now().Add(time.Minute); !condition(); time.Sleep(50 * time.Microsecond) {
+		if time.Now().After(end) {
+			b.Fatal("the link did not deliver")
+		}
+	}
+}
+
+// BenchmarkLink sends dispatches of a kilobyte over one loopback link.
+func BenchmarkLink(b *testing.B) {
+	var server, client counter
+	s, err := wire.Listen(testConfig(), "127.0.0.1:0", agentPeer, &server, quiet())
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = s.Serve() }()
+	defer func() { _ = s.Shutdown(b.Context()) }()
+	d := wire.NewDialer(testConfig(), entryPeer, &client, quiet())
+	defer d.Close()
+	d.Keep(s.Addr())
+	client.wait(b, func() bool { return client.link.Load() != nil })
+	m := &cleat.Dispatch{
+		Incarnation: 9, Grant: 3, Attempt: cleat.Attempt{Request: "r1", Number: 1}, Repeatable: true, Timeout: time.Minute,
+		Stream: cleat.Stream{Workspace: "ring/desk", Class: "draft", Kind: cleat.KindModel, Model: "m"},
+		Header: []cleat.HeaderField{{Name: "Content-Type", Value: "application/json"}}, Body: []byte(strings.Repeat("x", 1000)),
+	}
+	link := *client.link.Load()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if err := link.Send(m); err != nil {
+			b.Fatal(err)
+		}
+		if i%1000 == 999 {
+			client.wait(b, func() bool { return server.n.Load() > int64(i-1000) })
+		}
+	}
+	client.wait(b, func() bool { return server.n.Load() == int64(b.N) })
+}
