--- a/wire/link_test.go
+++ b/wire/link_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/fakes"
 	"marigoldcleat.example/cleat/wire"
 )
 
@@ -140,11 +141,13 @@
 		cfg := testConfig()
 		cfg.PingInterval, cfg.PeerTimeout = 20*time.Millisecond, 200*time.Millisecond
 		s := listen(cfg, server)
-		relay := newRelay(s.Addr())
-		dial(cfg, entryPeer, relay.addr(), client)
+		relay, err := fakes.StartRelay(s.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(relay.Close)
+		dial(cfg, entryPeer, relay.Addr(), client)
 		Eventually(server.Ups, patience).Should(Equal(1))
 		Consistently(server.Downs, 3*cfg.PeerTimeout).Should(BeZero(), "pings keep an idle link up")
-		relay.silence()
+		relay.Silence()
 		Eventually(server.Downs, patience).Should(Equal(1))
 		Eventually(client.Downs, patience).Should(Equal(1))
 		Expect(s.Counters().Silent()).To(BeEquivalentTo(1))
@@ -204,59 +207,6 @@
 	}
 })
 
-// relay forwards connections until it is silenced; then it swallows all bytes.
-type relay struct {
-	listener net.Listener
-	target   string
-	silent   chan struct{}
-}
-
-func newRelay(target string) *relay {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	r := &relay{listener: l, target: target, silent: make(chan struct{})}
-	DeferCleanup(l.Close)
-	go r.serve()
-	return r
-}
-
-func (r *relay) addr() string { return r.listener.Addr().String() }
-
-func (r *relay) silence() { close(r.silent) }
-
-func (r *relay) serve() {
-	for {
-		a, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		b, err := net.Dial("tcp", r.target)
-		if err != nil {
-			return
-		}
-		go r.forward(a, b)
-		go r.forward(b, a)
-	}
-}
-
-func (r *relay) forward(from, to net.Conn) {
-	buf := make([]byte, 4096)
-	for {
-		n, err := from.Read(buf)
-		if err != nil {
-			return
-		}
-		select {
-		case <-r.silent:
-			continue
-		default:
-		}
-		if _, err := to.Write(buf[:n]); err != nil {
-			return
-		}
-	}
-}
-
 // mutualTLS makes a configuration of one self-signed certificate for both sides.
 func mutualTLS() *tls.Config {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
