--- a/cmd/gauge/bench/ours.go
+++ b/cmd/gauge/bench/ours.go
@@ -7,6 +7,7 @@
 	"marigoldcleat.example/cleat"
 	"marigoldcleat.example/cleat/ledger"
 	"marigoldcleat.example/cleat/queue"
+	"marigoldcleat.example/cleat/route"
 	"marigoldcleat.example/cleat/slots"
 )
 
@@ -65,11 +66,10 @@
 // connect links every entry to its subset of agents and every instance to the
 // control instances.
 func (p *ours) connect() {
+	members := p.members()
 	for _, e := range p.entries {
-		for _, a := range p.agents {
-			if p.talks(e.n, a.n) {
-				p.net.connect(e.peer.Instance, a.peer.Instance)
-			}
+		for _, id := range route.Subset(e.peer.Instance, members) {
+			p.net.connect(e.peer.Instance, id)
 		}
 		p.net.connect(e.peer.Instance, p.controls[e.n%len(p.controls)].peer.Instance)
 	}
@@ -85,7 +85,18 @@
 	}
 }
 
-func (p *ours) talks(_, _ int) bool { return true }
+// members lists the agents as control tells entries of them.
+func (p *ours) members() []cleat.Member {
+	var list []cleat.Member
+	for _, a := range p.agents {
+		m := cleat.Member{Peer: a.peer}
+		for _, e := range a.engines {
+			m.Models = append(m.Models, e.model)
+		}
+		list = append(list, m)
+	}
+	return list
+}
 
 func (p *ours) traffic() []Traffic { return p.net.traffic(p.s.w.now.Sub(p.started)) }
 
@@ -514,6 +525,7 @@
 }
 
 func (h *controlHost) sums() {
+	h.relay.Forget(h.p.s.w.now)
 	for _, id := range sortedInstances(h.serves) {
 		if m := h.relay.Sums(h.p.s.w.now, id); m != nil {
 			h.p.net.send(h.peer.Instance, id, m)
@@ -521,9 +533,19 @@
 	}
 }
 
-func (*controlHost) linkUp(cleat.Peer) {}
+func (h *controlHost) linkUp(p cleat.Peer) {
+	if p.Role != cleat.RoleControl {
+		return
+	}
+	for _, m := range h.relay.Whole() {
+		h.p.net.send(h.peer.Instance, p.Instance, m)
+	}
+}
 
-func (h *controlHost) linkDown(id cleat.InstanceID) { delete(h.serves, id) }
+func (h *controlHost) linkDown(id cleat.InstanceID) {
+	delete(h.serves, id)
+	h.relay.Unlink(id)
+}
 
 func (h *controlHost) message(from cleat.InstanceID, m cleat.Message) {
 	report, ok := m.(*cleat.LedgerReport)
