--- a/cmd/gauge/bench/ours.go
+++ b/cmd/gauge/bench/ours.go
@@ -7,13 +7,13 @@
 	"marigoldcleat.example/cleat"
 	"marigoldcleat.example/cleat/ledger"
 	"marigoldcleat.example/cleat/queue"
+	"marigoldcleat.example/cleat/route"
 	"marigoldcleat.example/cleat/slots"
 )
 
 // Timing of the roles around the deciding code.
 const (
 	tickEvery     = 10 * time.Millisecond
-	reportEvery   = 500 * time.Millisecond
 	announceEvery = time.Second
 	registerEvery = time.Second
 	cancelGrace   = 5 * time.Second // Before an agent cancels what a lost entry left.
@@ -65,11 +65,10 @@
 // connect links every entry to its subset of agents and every instance to the
 // control instances.
 func (p *ours) connect() {
+	members := p.members()
 	for _, e := range p.entries {
-		for _, a := range p.agents {
-			if p.talks(e.n, a.n) {
-				p.net.connect(e.peer.Instance, a.peer.Instance)
-			}
+		for _, id := range route.Subset(e.peer.Instance, members) {
+			p.net.connect(e.peer.Instance, id)
 		}
 		p.net.connect(e.peer.Instance, p.controls[e.n%len(p.controls)].peer.Instance)
 	}
@@ -85,7 +84,18 @@
 	}
 }
 
-func (p *ours) talks(_, _ int) bool { return true }
+// members lists the agents as control tells entries of them.
+func (p *ours) members() []cleat.Member {
+	var list []cleat.Member
+	for _, a := range p.agents {
+		m := cleat.Member{Peer: a.peer}
+		for _, e := range a.engines {
+			m.Models = append(m.Models, e.model)
+		}
+		list = append(list, m)
+	}
+	return list
+}
 
 func (p *ours) traffic() []Traffic { return p.net.traffic(p.s.w.now.Sub(p.started)) }
 
@@ -278,7 +288,7 @@
 	first := time.Duration(n+1) * 700 * time.Microsecond
 	p.s.w.every(first, tickEvery, func() { h.do(h.table.Tick(h.now())) })
 	p.s.w.every(first, announceEvery, h.announceAll)
-	p.s.w.every(first+time.Duration(n)*17*time.Millisecond%reportEvery, reportEvery, h.report)
+	p.s.w.every(first+time.Duration(n)*17*time.Millisecond%ledger.ReportInterval, ledger.ReportInterval, h.report)
 	p.s.w.every(registerEvery, registerEvery, func() { p.register(h.station) })
 	return h
 }
@@ -497,7 +507,7 @@
 	h.peer = p.peer(cleat.RoleControl, n)
 	h.station = p.net.add(h.peer, p.s.o.Deployment.domain(n), h)
 	h.reset()
-	p.s.w.every(reportEvery/2, reportEvery, h.sums)
+	p.s.w.every(ledger.ReportInterval/2, ledger.ReportInterval, h.sums)
 	return h
 }
 
@@ -514,6 +524,7 @@
 }
 
 func (h *controlHost) sums() {
+	h.relay.Forget(h.p.s.w.now)
 	for _, id := range sortedInstances(h.serves) {
 		if m := h.relay.Sums(h.p.s.w.now, id); m != nil {
 			h.p.net.send(h.peer.Instance, id, m)
@@ -521,9 +532,19 @@
 	}
 }
 
-func (*controlHost) linkUp(cleat.Peer) {}
+func (h *controlHost) linkUp(p cleat.Peer) {
+	if p.Role != cleat.RoleControl {
+		return
+	}
+	for _, m := range h.relay.Whole() {
+		h.p.net.send(h.peer.Instance, p.Instance, m)
+	}
+}
 
-func (h *controlHost) linkDown(id cleat.InstanceID) { delete(h.serves, id) }
+func (h *controlHost) linkDown(id cleat.InstanceID) {
+	delete(h.serves, id)
+	h.relay.Unlink(id)
+}
 
 func (h *controlHost) message(from cleat.InstanceID, m cleat.Message) {
 	report, ok := m.(*cleat.LedgerReport)
