--- a/admin/client.go
+++ b/admin/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -92,24 +93,50 @@
 	if len(c.servers) == 0 {
 		return trace.BadParameter("Client.call: no server is given")
 	}
-	var err error
+	doubt := false
 	for i := 0; ; i++ {
 		server := c.servers[i%len(c.servers)]
-		err = c.once(ctx, method, server+path+encode(query), body, out)
+		err := c.once(ctx, method, server+path+encode(query), body, out)
 		if err == nil || final(err) {
 			return err
 		}
-		if (i+1)%len(c.servers) != 0 {
+		doubt = doubt || (body != nil && mayHaveArrived(err))
+		if (i+1)%len(c.servers) != 0 && ctx.Err() == nil {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-			return trace.ConnectionProblem(err, "Client.call: no control instance gave an answer: %v", err)
-		case <-time.After(retryDelay):
+		if !pause(ctx) {
+			return undecided(err, doubt)
 		}
 	}
 }
 
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(retryDelay):
+		return true
+	}
+}
+
+// mayHaveArrived tells whether a failed try may have changed something.
+func mayHaveArrived(err error) bool {
+	var failed *Error
+	if errors.As(err, &failed) {
+		return failed.Problem.Code != CodeNotAccepted
+	}
+	var network *net.OpError
+	return !errors.As(err, &network) || network.Op != "dial"
+}
+
+// undecided is the outcome of a call that no server answered finally.
+func undecided(err error, doubt bool) error {
+	if doubt {
+		return &Error{Status: http.StatusGatewayTimeout, Problem: Problem{Code: CodeFateUnknown, Message: err.Error()}}
+	}
+	return &Error{Status: http.StatusServiceUnavailable, Problem: Problem{Code: CodeNotAccepted, Message: err.Error()}}
+}
+
 // final tells whether asking another instance would change nothing.
 func final(err error) bool {
 	var failed *Error
--- /dev/null
+++ b/cmd/cleatctl/ctrl.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/admin"
+)
+
+const (
+	usageCtrl = `Shows and changes the control instances that hold the fleet's state.`
+
+	usageCtrlStatus = `Prints the replicated log as each of the named servers sees it.
+
+  cleatctl --server 10.0.0.1:7080 --server 10.0.0.2:7080 ctrl status`
+
+	usageCtrlAdd = `Adds a control instance that was started with --join, first without a vote.
+
+  cleatctl ctrl add c4`
+
+	usageCtrlRemove = `Removes a control instance from the log for good.
+
+  cleatctl ctrl remove c4`
+
+	usageCtrlReplace = `Puts an instance that came back with an empty disk in place of its lost self.
+
+  cleatctl ctrl replace c2`
+
+	usageCtrlSnapshot = `Has one control instance replace its log by a snapshot.
+
+  cleatctl --server 10.0.0.1:7080 ctrl snapshot`
+)
+
+// ctrlClause returns the parent of the ctrl commands, made once.
+func ctrlClause(app *kingpin.Application) *kingpin.CmdClause {
+	if c := app.GetCommand("ctrl"); c != nil {
+		return c
+	}
+	return app.Command("ctrl", usageCtrl)
+}
+
+func registerCtrlStatus(app *kingpin.Application) (string, command) {
+	c := ctrlClause(app).Command("status", usageCtrlStatus)
+	return c.FullCommand(), func(ctx context.Context, e *env) error {
+		views, err := e.controls(ctx)
+		if e.json && err == nil {
+			return e.printJSON(views)
+		}
+		for _, v := range views {
+			if err := e.printControl(v); err != nil {
+				return err
+			}
+		}
+		return err
+	}
+}
+
+// statusTimeout bounds the wait for one server that may be down.
+const statusTimeout = 3 * time.Second
+
+// controls asks each server for its own view.
+func (e *env) controls(ctx context.Context) ([]admin.Control, error) {
+	var views []admin.Control
+	var errs []error
+	for i := range e.servers {
+		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+		var v admin.Control
+		err := e.only(i).Get(ctx, admin.PathControl, nil, &v)
+		cancel()
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", e.servers[i], err))
+			continue
+		}
+		views = append(views, v)
+	}
+	return views, errors.Join(errs...)
+}
+
+func (e *env) printControl(v admin.Control) error {
+	fmt.Fprintf(e.out, "%s: %s in term %d, leader %s, committed %d, applied %d, snapshot %d, settings %d, claims %d\n",
+		v.Instance, v.Duty, v.Term, orNone(v.Leader), v.Commit, v.Applied, v.Snapshot, v.Settings, v.Claims)
+	if v.DiskError != "" {
+		fmt.Fprintf(e.out, "  its disk fails: %s\n", v.DiskError)
+	}
+	var rows []string
+	for _, m := range v.Replicas {
+		rows = append(rows, row("  "+string(m.Instance), m.Replica, vote(m), synced(m)))
+	}
+	for _, m := range v.Candidates {
+		rows = append(rows, row("  "+string(m.Instance), m.Replica, "not a member", ""))
+	}
+	return e.printTable(row("  INSTANCE", "REPLICA", "PART", "SYNCED"), rows)
+}
+
+func vote(m admin.Replica) string {
+	if m.Learner {
+		return "learner"
+	}
+	return "voter"
+}
+
+func synced(m admin.Replica) string {
+	if m.Match == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d, heard %.1f s ago", m.Match, m.Quiet)
+}
+
+func registerCtrlAdd(app *kingpin.Application) (string, command) {
+	return registerReplicas(app, "add", usageCtrlAdd, cleat.ReplicaAdd)
+}
+
+func registerCtrlRemove(app *kingpin.Application) (string, command) {
+	return registerReplicas(app, "remove", usageCtrlRemove, cleat.ReplicaRemove)
+}
+
+func registerCtrlReplace(app *kingpin.Application) (string, command) {
+	return registerReplicas(app, "replace", usageCtrlReplace, cleat.ReplicaReplace)
+}
+
+func registerReplicas(app *kingpin.Application, name, usage string, action cleat.ReplicaAction) (string, command) {
+	c := ctrlClause(app).Command(name, usage)
+	id := c.Arg("instance", "Name of the control instance.").Required().String()
+	return c.FullCommand(), func(ctx context.Context, e *env) error {
+		change := admin.ReplicaChange{Action: action, Instance: cleat.InstanceID(*id)}
+		if err := e.client.Post(ctx, admin.PathReplicas, change, nil); err != nil {
+			return err
+		}
+		fmt.Fprintf(e.out, "done: %s %s\n", name, *id)
+		return nil
+	}
+}
+
+func registerCtrlSnapshot(app *kingpin.Application) (string, command) {
+	c := ctrlClause(app).Command("snapshot", usageCtrlSnapshot)
+	return c.FullCommand(), func(ctx context.Context, e *env) error {
+		if err := e.only(0).Post(ctx, admin.PathSnapshot, struct{}{}, nil); err != nil {
+			return err
+		}
+		fmt.Fprintln(e.out, "the snapshot is under way")
+		return nil
+	}
+}
--- /dev/null
+++ b/cmd/cleatctl/env.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	crand "crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat/admin"
+)
+
+const randomBytes = 32
+
+// env is what every command works with.
+type env struct {
+	out       io.Writer
+	servers   []string
+	token     string
+	tokenFile string
+	json      bool
+	client    *admin.Client
+}
+
+func (e *env) registerFlags(app *kingpin.Application) {
+	app.Flag("server", "Address of a control instance's HTTP, as host:port or URL; repeatable.").Envar("CLEAT_SERVER").Default("127.0.0.1:7080").StringsVar(&e.servers)
+	app.Flag("token", "Secret of the token.").Envar("CLEAT_TOKEN").StringVar(&e.token)
+	app.Flag("token-file", "File with the secret of the token.").Envar("CLEAT_TOKEN_FILE").StringVar(&e.tokenFile)
+	app.Flag("json", "Print JSON in place of tables.").BoolVar(&e.json)
+}
+
+func (e *env) connect() error {
+	if e.token == "" && e.tokenFile != "" {
+		b, err := os.ReadFile(e.tokenFile)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		e.token = strings.TrimSpace(string(b))
+	}
+	urls := make([]string, 0, len(e.servers))
+	for _, s := range e.servers {
+		urls = append(urls, baseURL(s))
+	}
+	e.client = admin.NewClient(urls, e.token)
+	return nil
+}
+
+func baseURL(server string) string {
+	if !strings.Contains(server, "://") {
+		server = "http://" + server
+	}
+	return strings.TrimSuffix(server, "/")
+}
+
+// only returns a client of one of the servers.
+func (e *env) only(i int) *admin.Client {
+	return admin.NewClient([]string{baseURL(e.servers[i])}, e.token)
+}
+
+// printJSON writes v indented.
+func (e *env) printJSON(v any) error {
+	enc := json.NewEncoder(e.out)
+	enc.SetIndent("", "  ")
+	return trace.Wrap(enc.Encode(v))
+}
+
+// printTable writes rows under a heading, in columns.
+func (e *env) printTable(heading string, rows []string) error {
+	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, heading)
+	for _, row := range rows {
+		fmt.Fprintln(w, row)
+	}
+	return trace.Wrap(w.Flush())
+}
+
+// row joins the cells of one line of a table.
+func row(cells ...any) string {
+	texts := make([]string, 0, len(cells))
+	for _, c := range cells {
+		texts = append(texts, fmt.Sprint(c))
+	}
+	return strings.Join(texts, "\t")
+}
+
+// randomHex returns a random string for secrets and operation ids.
+func randomHex(n int) string {
+	b := make([]byte, n)
+	_, _ = crand.Read(b) // It never fails.
+	return hex.EncodeToString(b)
+}
--- a/cmd/cleatctl/main.go
+++ b/cmd/cleatctl/main.go
@@ -1,15 +1,80 @@
-// Command cleatctl is not implemented yet.
+// Command cleatctl is the operators' client.
 package main
 
 import (
-	_ "github.com/alecthomas/kingpin/v2"
-	_ "github.com/charmbracelet/log"
-	_ "github.com/gravitational/trace"
-	_ "github.com/oklog/run"
-	_ "github.com/onsi/ginkgo/v2"
-	_ "github.com/onsi/gomega"
-
-	_ "marigoldcleat.example/cleat"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
 )
 
-func main() {}
+const usageMain = `Reads and changes the settings of a marigoldcleat fleet and shows its state.
+
+Name the control instances with --server (repeatable; the next one is asked
+when one does not answer) and give a token with --token, CLEAT_TOKEN or
+--token-file.
+
+Every change carries an operation id, printed when the change's fate is
+unknown: run the command again with --operation and that id, and it is carried
+out at most once.
+
+Exit codes:
+  0  done
+  1  wrong usage, or another error
+  2  refused: another change came first, or the change can't stand
+  3  the token is unknown or may not do this
+  4  nothing is there
+  5  nothing changed: no quorum of control instances accepts changes; try again
+  6  the change may or may not be accepted; resend it with its operation id`
+
+// command is one subcommand after parsing.
+type command func(ctx context.Context, e *env) error
+
+// register adds a subcommand to the application and returns its full name.
+type register func(app *kingpin.Application) (name string, run command)
+
+var registers = []register{
+	registerGet, registerSet, registerDelete, registerList, registerHistory, registerWatch, registerStatus,
+	registerTokenCreate, registerTokenList, registerTokenRevoke, registerImport, registerExport,
+	registerCtrlStatus, registerCtrlAdd, registerCtrlRemove, registerCtrlReplace, registerCtrlSnapshot,
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	os.Exit(execute(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// execute runs one command line and returns its exit code.
+func execute(ctx context.Context, args []string, out, errs io.Writer) int {
+	e := &env{out: out}
+	err := e.run(ctx, args, errs)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errs, "cleatctl:", message(err))
+	return exitCode(err)
+}
+
+func (e *env) run(ctx context.Context, args []string, errs io.Writer) error {
+	app := kingpin.New("cleatctl", usageMain)
+	app.UsageWriter(errs)
+	e.registerFlags(app)
+	commands := make(map[string]command)
+	for _, register := range registers {
+		name, run := register(app)
+		commands[name] = run
+	}
+	name, err := app.Parse(args)
+	if err != nil {
+		return trace.BadParameter("%v, try --help", err)
+	}
+	if err := e.connect(); err != nil {
+		return trace.Wrap(err)
+	}
+	return commands[name](ctx, e)
+}
--- /dev/null
+++ b/cmd/cleatctl/status.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/url"
+	"slices"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/admin"
+)
+
+const usageStatus = `Prints the state of the fleet, or of one workspace.
+
+  cleatctl status
+  cleatctl status ring/desk
+
+Of the fleet: every node, the revision it runs and whether it lags. Of a
+workspace: its share, the service it received for its share, how far it is
+behind the best served workspace that has waiting requests (gap), and its
+waiting, running and refused requests.`
+
+func registerStatus(app *kingpin.Application) (string, command) {
+	c := app.Command("status", usageStatus)
+	workspace := c.Arg("workspace", "Workspace, as team/name.").String()
+	return c.FullCommand(), func(ctx context.Context, e *env) error {
+		if *workspace != "" {
+			return e.statusWorkspace(ctx, *workspace)
+		}
+		return e.statusFleet(ctx)
+	}
+}
+
+func (e *env) statusFleet(ctx context.Context) error {
+	var s admin.FleetStatus
+	if err := e.client.Get(ctx, admin.PathStatus, nil, &s); err != nil {
+		return err
+	}
+	if e.json {
+		return e.printJSON(s)
+	}
+	fmt.Fprintf(e.out, "revision %d, leader %s, %d nodes, %d lag\n", s.Revision, orNone(s.Leader), len(s.Nodes), s.Laggards)
+	for _, id := range s.Unreachable {
+		fmt.Fprintf(e.out, "control instance %s does not answer; its nodes are missing here\n", id)
+	}
+	if s.Violations > 0 {
+		fmt.Fprintf(e.out, "%d invariants were violated; see the log of the control instance\n", s.Violations)
+	}
+	for _, o := range s.Orders {
+		fmt.Fprintf(e.out, "order %d: %s %s at %s, not answered yet\n", o.ID, o.Order, o.Model, o.Upstream)
+	}
+	var rows []string
+	for _, n := range s.Nodes {
+		rows = append(rows, row(n.Instance, n.Role, n.Domain, n.Revision, nodeState(n), n.Control, n.Address))
+	}
+	return e.printTable(row("INSTANCE", "ROLE", "DOMAIN", "REVISION", "STATE", "CONTROL", "ADDRESS"), rows)
+}
+
+func orNone(id cleat.InstanceID) string {
+	if id == "" {
+		return "none"
+	}
+	return string(id)
+}
+
+func nodeState(n admin.Node) string {
+	switch {
+	case n.Suspected:
+		return fmt.Sprintf("silent for %.0f s", n.Silent)
+	case n.Leaving:
+		return "leaving"
+	case n.Lags:
+		return "lags"
+	}
+	return "up"
+}
+
+func (e *env) statusWorkspace(ctx context.Context, name string) error {
+	var s admin.WorkspaceStatus
+	if err := e.client.Get(ctx, admin.PathWorkspace, url.Values{"workspace": {name}}, &s); err != nil {
+		return err
+	}
+	if e.json {
+		return e.printJSON(s)
+	}
+	rows := []string{
+		row("share", s.Share), row("service for its share", s.Service), row("gap", s.Gap),
+		row("waiting", s.Waiting), row("running", s.Running), row("served", s.Served),
+	}
+	for _, reason := range slices.Sorted(maps.Keys(s.Refused)) {
+		rows = append(rows, row("refused: "+string(reason), s.Refused[reason]))
+	}
+	return e.printTable(row("WORKSPACE", s.Workspace), rows)
+}
--- a/cmd/ctrl/main.go
+++ b/cmd/ctrl/main.go
@@ -1,15 +1,111 @@
-// Command ctrl is not implemented yet.
+// Command ctrl runs one control instance.
 package main
 
 import (
-	_ "github.com/alecthomas/kingpin/v2"
-	_ "github.com/charmbracelet/log"
-	_ "github.com/gravitational/trace"
-	_ "github.com/oklog/run"
-	_ "github.com/onsi/ginkgo/v2"
-	_ "github.com/onsi/gomega"
-
-	_ "marigoldcleat.example/cleat"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/ctrl"
+	"marigoldcleat.example/cleat/telem"
 )
 
-func main() {}
+const usage = `Runs one control instance of a marigoldcleat fleet.
+
+One instance alone forms its own log:
+
+  ctrl --id c1 --data /var/lib/cleat --fleet-key "$KEY" --listen 10.0.0.1:7000 --http 10.0.0.1:7080
+
+Three instances that form a log together; each names the others' link
+addresses, and all name the same first instances:
+
+  ctrl --id c1 --first c1 --first c2 --first c3 --control 10.0.0.2:7000 --control 10.0.0.3:7000 ...
+
+A new instance, or one that lost its disk, joins a log; it counts once an
+operator runs "cleatctl ctrl add" or "cleatctl ctrl replace":
+
+  ctrl --id c4 --join c1 --join c2 --join c3 --control 10.0.0.1:7000 ...
+
+The instance that makes the fleet's first token leaves its secret in the file
+root-token of its data folder.`
+
+// settings are the flags of this program besides the common ones.
+type settings struct {
+	common      *telem.Flags
+	data        string
+	controlFile string
+	first       []string
+	join        []string
+}
+
+func main() {
+	s, logger, err := parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "ctrl:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+	assert.SetHook(func(name, msg string) { logger.Error("invariant violated", "invariant", name, "seen", msg) })
+	telem.Exit(logger, serve(s, logger))
+}
+
+func parse(args []string) (*settings, *log.Logger, error) {
+	app := kingpin.New("ctrl", usage)
+	s := &settings{common: telem.RegisterFlags(app)}
+	app.Flag("data", "Folder for the log and the addresses; it must be on a disk that lasts.").Envar("CLEAT_DATA").Required().StringVar(&s.data)
+	app.Flag("control-file", "File with link addresses of control instances, one a line, read again while running.").Envar("CLEAT_CONTROL_FILE").StringVar(&s.controlFile)
+	app.Flag("first", "Name of an instance that forms a new log together with this one; repeatable, this one included.").Envar("CLEAT_FIRST").StringsVar(&s.first)
+	app.Flag("join", "Name of an instance of the log that this one joins; repeatable.").Envar("CLEAT_JOIN").StringsVar(&s.join)
+	if _, err := app.Parse(args); err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	if err := s.common.Validate(); err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	logger, err := telem.NewLogger(os.Stderr, s.common)
+	return s, logger, trace.Wrap(err)
+}
+
+func serve(s *settings, logger *log.Logger) error {
+	cfg, err := s.config()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	role, err := ctrl.Open(cfg, logger)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	logger.Info("control instance up", "listen", role.Addr(), "http", role.HTTPAddr(), "data", s.data)
+	addrs := []telem.Addr{{Name: "listen", Address: role.Addr()}, {Name: "http", Address: role.HTTPAddr()}}
+	if err := s.common.WriteAddrs(addrs...); err != nil {
+		return trace.Wrap(err)
+	}
+	return telem.RunDaemon(logger, role)
+}
+
+func (s *settings) config() (ctrl.Config, error) {
+	links, err := s.common.Wire()
+	if err != nil {
+		return ctrl.Config{}, trace.Wrap(err)
+	}
+	cfg := ctrl.Config{
+		ID: cleat.InstanceID(s.common.ID), Domain: cleat.DomainID(s.common.Domain),
+		Listen: s.common.Listen, HTTP: s.common.HTTP, DataFolder: s.data,
+		Controls: s.common.Controls, ControlFile: s.controlFile,
+		First: instances(s.first), Join: instances(s.join), Wire: links,
+	}
+	cfg.Defaults()
+	return cfg, trace.Wrap(cfg.Validate())
+}
+
+func instances(names []string) []cleat.InstanceID {
+	var ids []cleat.InstanceID
+	for _, name := range names {
+		ids = append(ids, cleat.InstanceID(name))
+	}
+	return ids
+}
