gauge: measure what a node of each role costs at growing sizes

Change: gauge cost plays today's size, a fifth of the plan and the plan, and adds up the time spent in deciding code and encoding by role.

--- a/cmd/gauge/bench/deploy.go
+++ b/cmd/gauge/bench/deploy.go
@@ -47,12 +47,12 @@
 
 // DeploymentByName returns the deployment, or a trace.NotFound error.
 func DeploymentByName(name string) (Deployment, error) {
-	for _, d := range []Deployment{pastorAndino(), lade(), plan()} {
+	for _, d := range []Deployment{pastorAndino(), lade(), fifth(), plan()} {
 		if d.name == name {
 			return d, nil
 		}
 	}
-	return Deployment{}, trace.NotFound("DeploymentByName: no deployment %q (pastor-andino, lade, plan)", name)
+	return Deployment{}, trace.NotFound("DeploymentByName: no deployment %q (pastor-andino, lade, fifth, plan)", name)
 }
 
 func pastorAndino() Deployment {
@@ -82,6 +82,16 @@
 	}
 }
 
+// fifth is a fifth of the plan: 75 nodes, of which 9 entries, 61 agents and 5
+// control instances.
+func fifth() Deployment {
+	d := plan()
+	d.name = "fifth"
+	d.entries, d.agents, d.plains, d.controls = 9, 57, 4, 5
+	d.models, d.workspaces, d.large = 6, 560, 10
+	return d
+}
+
 // plan is the size to design for: 350 nodes, of which 43 entries, 300 agents
 // with two servers each and 7 control instances.
 func plan() Deployment {
--- a/cmd/gauge/bench/net.go
+++ b/cmd/gauge/bench/net.go
@@ -59,10 +59,11 @@
 	stations map[cleat.InstanceID]*station
 	cables   map[[2]cleat.InstanceID]*cable
 	order    []*cable
+	spent    *spent
 }
 
-func newNetwork(s *sim) *network {
-	n := &network{s: s, stations: make(map[cleat.InstanceID]*station), cables: make(map[[2]cleat.InstanceID]*cable)}
+func newNetwork(s *sim, sp *spent) *network {
+	n := &network{s: s, spent: sp, stations: make(map[cleat.InstanceID]*station), cables: make(map[[2]cleat.InstanceID]*cable)}
 	s.w.every(100*time.Millisecond, 100*time.Millisecond, n.watch)
 	return n
 }
@@ -195,7 +196,7 @@
 	if c.ends[1].peer.Instance == from {
 		dir = 1
 	}
-	n.account(c, m)
+	n.account(c, c.ends[dir], m)
 	if !n.s.connected(c.ends[0].domain, c.ends[1].domain) {
 		c.dirs[dir].held = append(c.dirs[dir].held, m)
 		return true
@@ -235,15 +236,17 @@
 	}
 }
 
-func (*network) account(c *cable, m cleat.Message) {
+func (n *network) account(c *cable, from *station, m cleat.Message) {
 	if !isControl(m) {
 		return
 	}
-	n, err := wire.FrameBytes(m)
+	began := n.spent.begin()
+	bytes, err := wire.FrameBytes(m)
+	n.spent.end(from.peer.Role, began)
 	if err != nil {
 		return
 	}
-	size := float64(n)
+	size := float64(bytes)
 	c.ends[0].bytes[m.Kind()] += size
 	c.ends[1].bytes[m.Kind()] += size
 }
--- a/cmd/gauge/bench/ours.go
+++ b/cmd/gauge/bench/ours.go
@@ -31,11 +31,12 @@
 	controls []*controlHost
 	byID     map[cleat.RequestID]*arrival
 	started  time.Time
+	spent    *spent
 }
 
-func newOurs(s *sim) *ours {
-	p := &ours{s: s, byID: make(map[cleat.RequestID]*arrival, len(s.arrivals)), started: s.w.now}
-	p.net = newNetwork(s)
+func newOurs(s *sim, sp *spent) *ours {
+	p := &ours{s: s, spent: sp, byID: make(map[cleat.RequestID]*arrival, len(s.arrivals)), started: s.w.now}
+	p.net = newNetwork(s, sp)
 	for _, a := range s.arrivals {
 		p.byID[a.work.ID] = a
 	}
@@ -144,7 +145,7 @@
 	h.peer = p.peer(cleat.RoleEntry, n)
 	h.station = p.net.add(h.peer, p.s.o.Deployment.domain(n), h)
 	h.reset()
-	p.s.w.every(time.Duration(n+1)*time.Millisecond, tickEvery, func() { h.do(h.table.Tick(h.now())) })
+	p.s.w.every(time.Duration(n+1)*time.Millisecond, tickEvery, func() { h.call(func() cleat.Effects { return h.table.Tick(h.now()) }) })
 	p.s.w.every(registerEvery, registerEvery, func() { p.register(h.station) })
 	return h
 }
@@ -156,7 +157,7 @@
 	cfg.Defaults()
 	h.table = queue.New(cfg, h.peer, rand.New(rand.NewSource(h.p.s.o.Seed+int64(h.n))))
 	h.running = make(map[cleat.Attempt]*entryRun)
-	h.do(h.table.Configure(h.now(), h.p.s.o.Deployment.settings()))
+	h.call(func() cleat.Effects { return h.table.Configure(h.now(), h.p.s.o.Deployment.settings()) })
 }
 
 // restart loses the entry's state; its callers' connections break.
@@ -174,7 +175,15 @@
 
 func (h *entryHost) submit(a *arrival) {
 	h.p.s.m.enqueue(a)
-	h.do(h.table.Submit(h.now(), a.work))
+	h.call(func() cleat.Effects { return h.table.Submit(h.now(), a.work) })
+}
+
+// call times a call of the deciding code and carries out its effects.
+func (h *entryHost) call(f func() cleat.Effects) {
+	began := h.p.spent.begin()
+	e := f()
+	h.p.spent.end(cleat.RoleEntry, began)
+	h.do(e)
 }
 
 func (h *entryHost) do(e cleat.Effects) {
@@ -200,7 +209,7 @@
 	h.running[s.Attempt] = &entryRun{a: h.p.byID[s.Work.ID], agent: s.Agent, incarnation: s.Incarnation}
 	if !h.p.net.send(h.peer.Instance, s.Agent, d) {
 		delete(h.running, s.Attempt)
-		h.do(h.table.NotSent(h.now(), s.Attempt))
+		h.call(func() cleat.Effects { return h.table.NotSent(h.now(), s.Attempt) })
 	}
 }
 
@@ -208,7 +217,7 @@
 	if p.Role != cleat.RoleAgent {
 		return
 	}
-	h.do(h.table.AgentUp(h.now(), p))
+	h.call(func() cleat.Effects { return h.table.AgentUp(h.now(), p) })
 	for _, a := range sortedAttempts(h.running) {
 		if r := h.running[a]; r.agent == p.Instance && r.incarnation == p.Incarnation {
 			h.p.net.send(h.peer.Instance, p.Instance, &cleat.Resume{Attempt: a})
@@ -218,21 +227,21 @@
 
 func (h *entryHost) linkDown(id cleat.InstanceID) {
 	if h.p.net.stations[id].peer.Role == cleat.RoleAgent {
-		h.do(h.table.AgentDown(h.now(), id))
+		h.call(func() cleat.Effects { return h.table.AgentDown(h.now(), id) })
 	}
 }
 
 func (h *entryHost) message(from cleat.InstanceID, m cleat.Message) {
 	switch m := m.(type) {
 	case *cleat.Grants:
-		h.do(h.table.Grants(h.now(), from, m))
+		h.call(func() cleat.Effects { return h.table.Grants(h.now(), from, m) })
 	case *cleat.AgentState:
-		h.do(h.table.AgentState(h.now(), from, m))
+		h.call(func() cleat.Effects { return h.table.AgentState(h.now(), from, m) })
 	case *cleat.Ask:
-		h.do(h.table.Ask(h.now(), from, m))
+		h.call(func() cleat.Effects { return h.table.Ask(h.now(), from, m) })
 	case *cleat.Refused:
 		delete(h.running, m.Attempt)
-		h.do(h.table.Refused(h.now(), from, m))
+		h.call(func() cleat.Effects { return h.table.Refused(h.now(), from, m) })
 	case *cleat.Part:
 		h.part(m)
 	}
@@ -252,7 +261,7 @@
 	if m.Outcome.Kind == cleat.OutcomeDone {
 		h.p.s.m.finished(r.a)
 	}
-	h.do(h.table.Finished(h.now(), m.Attempt, m.Outcome))
+	h.call(func() cleat.Effects { return h.table.Finished(h.now(), m.Attempt, m.Outcome) })
 	if m.Outcome.Kind != cleat.OutcomeDone && !r.a.ended {
 		h.p.s.m.enqueue(r.a)
 	}
@@ -286,7 +295,7 @@
 	h.station = p.net.add(h.peer, p.s.o.Deployment.domain(n), h)
 	h.reset()
 	first := time.Duration(n+1) * 700 * time.Microsecond
-	p.s.w.every(first, tickEvery, func() { h.do(h.table.Tick(h.now())) })
+	p.s.w.every(first, tickEvery, func() { h.call(func() cleat.Effects { return h.table.Tick(h.now()) }) })
 	p.s.w.every(first, announceEvery, h.announceAll)
 	p.s.w.every(first+time.Duration(n)*17*time.Millisecond%ledger.ReportInterval, ledger.ReportInterval, h.report)
 	p.s.w.every(registerEvery, registerEvery, func() { p.register(h.station) })
@@ -328,9 +337,19 @@
 }
 
 func (h *agentHost) announce(e *engine) {
-	h.do(h.table.Announce(h.now(), cleat.Announcement{
-		Upstream: e.id, Kind: e.kind, Models: []cleat.ModelID{e.model}, Slots: uint32(e.slots), Leaving: e.leaving,
-	}))
+	h.call(func() cleat.Effects {
+		return h.table.Announce(h.now(), cleat.Announcement{
+			Upstream: e.id, Kind: e.kind, Models: []cleat.ModelID{e.model}, Slots: uint32(e.slots), Leaving: e.leaving,
+		})
+	})
+}
+
+// call times a call of the deciding code and carries out its effects.
+func (h *agentHost) call(f func() cleat.Effects) {
+	began := h.p.spent.begin()
+	e := f()
+	h.p.spent.end(cleat.RoleAgent, began)
+	h.do(e)
 }
 
 func (h *agentHost) do(e cleat.Effects) {
@@ -362,14 +381,14 @@
 			h.abandon(r)
 		}
 	}
-	h.do(h.table.EntryUp(h.now(), p))
+	h.call(func() cleat.Effects { return h.table.EntryUp(h.now(), p) })
 }
 
 func (h *agentHost) linkDown(id cleat.InstanceID) {
 	if h.p.net.stations[id].peer.Role != cleat.RoleEntry {
 		return
 	}
-	h.do(h.table.EntryDown(h.now(), id))
+	h.call(func() cleat.Effects { return h.table.EntryDown(h.now(), id) })
 	inc := h.peer.Incarnation
 	h.p.s.w.after(cancelGrace, func() {
 		if h.peer.Incarnation != inc || h.p.net.linked(h.peer.Instance, id) {
@@ -397,9 +416,9 @@
 func (h *agentHost) message(from cleat.InstanceID, m cleat.Message) {
 	switch m := m.(type) {
 	case *cleat.Offers:
-		h.do(h.table.Offers(h.now(), from, m))
+		h.call(func() cleat.Effects { return h.table.Offers(h.now(), from, m) })
 	case *cleat.Decline:
-		h.do(h.table.Decline(h.now(), from, m))
+		h.call(func() cleat.Effects { return h.table.Decline(h.now(), from, m) })
 	case *cleat.Dispatch:
 		h.dispatch(from, m)
 	case *cleat.Cancel:
@@ -407,7 +426,7 @@
 	case *cleat.Resume:
 		h.resume(from, m)
 	case *cleat.LedgerSums:
-		h.do(h.table.Sums(h.now(), m))
+		h.call(func() cleat.Effects { return h.table.Sums(h.now(), m) })
 	}
 }
 
@@ -479,7 +498,7 @@
 
 func (h *agentHost) finish(r *agentRun, o cleat.Outcome) {
 	r.done, r.outcome = true, o
-	h.do(h.table.Finish(h.now(), r.attempt, o))
+	h.call(func() cleat.Effects { return h.table.Finish(h.now(), r.attempt, o) })
 }
 
 // cached passes cache events on late, some of them lost.
@@ -526,7 +545,10 @@
 func (h *controlHost) sums() {
 	h.relay.Forget(h.p.s.w.now)
 	for _, id := range sortedInstances(h.serves) {
-		if m := h.relay.Sums(h.p.s.w.now, id); m != nil {
+		began := h.p.spent.begin()
+		m := h.relay.Sums(h.p.s.w.now, id)
+		h.p.spent.end(cleat.RoleControl, began)
+		if m != nil {
 			h.p.net.send(h.peer.Instance, id, m)
 		}
 	}
@@ -555,7 +577,10 @@
 	if direct {
 		h.serves[from] = h.p.s.w.now
 	}
-	if !h.relay.Report(h.p.s.w.now, report) || !direct {
+	began := h.p.spent.begin()
+	news := h.relay.Report(h.p.s.w.now, report)
+	h.p.spent.end(cleat.RoleControl, began)
+	if !news || !direct {
 		return
 	}
 	for _, c := range h.p.controls {
--- a/cmd/gauge/bench/result.go
+++ b/cmd/gauge/bench/result.go
@@ -78,7 +78,7 @@
 
 	var traffic func() []Traffic
 	if name == PolicyOurs {
-		p := newOurs(s)
+		p := newOurs(s, nil)
 		traffic = p.traffic
 		s.play(p)
 	} else {
--- a/cmd/gauge/main.go
+++ b/cmd/gauge/main.go
@@ -14,12 +14,14 @@
 
   gauge policy --deployment pastor-andino --duration 60s
   gauge policy --deployment lade --faults partition@20s-30s --seeds 20
+  gauge cost --deployment plan
   gauge soak --for 10m
 `
 
 func main() {
 	app := kingpin.New("gauge", usageGauge)
 	registerPolicy(app)
+	registerCost(app)
 	registerSoak(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		app.FatalIfError(err, "")
--- a/cmd/gauge/policy.go
+++ b/cmd/gauge/policy.go
@@ -214,11 +214,7 @@
 			cl.Class, cl.Count, cl.Wait.P50, cl.Wait.P95, cl.Wait.P99, cl.First.P50, cl.First.P95, cl.First.P99)
 	}
 	for _, t := range r.Traffic {
-		fmt.Printf("  %-9s control traffic mean %.0f worst %.0f bytes/s:", t.Role, t.Mean, t.Worst)
-		for _, k := range t.Kinds {
-			fmt.Printf(" %s %.0f", k.Kind, k.Bytes)
-		}
-		fmt.Println()
+		printTraffic(t)
 	}
 	var parts []string
 	for _, x := range r.Refused {
@@ -228,3 +224,12 @@
 		fmt.Println("  refused: " + strings.Join(parts, ", "))
 	}
 }
+
+// printTraffic prints one role's control traffic, in all and by kind of message.
+func printTraffic(t bench.Traffic) {
+	fmt.Printf("  %-9s control traffic mean %.0f worst %.0f bytes/s:", t.Role, t.Mean, t.Worst)
+	for _, k := range t.Kinds {
+		fmt.Printf(" %s %.0f", k.Kind, k.Bytes)
+	}
+	fmt.Println()
+}
