wire: number recurring names on each link

Cause: workspaces, classes, models and upstreams are named in every offer, grant and total. Change: fields tagged so are sent whole once on a link and by number from then on (the codec's interned strings); a frame that is not sent takes its new numbers back.

--- a/cmd/gauge/bench/net.go
+++ b/cmd/gauge/bench/net.go
@@ -41,8 +41,9 @@
 
 // wireEnd is a link's queue in one direction.
 type wireEnd struct {
-	last time.Time // When the latest message arrives; links keep order.
-	held []cleat.Message
+	last  time.Time // When the latest message arrives; links keep order.
+	held  []cleat.Message
+	sizer *wire.Sizer
 }
 
 // cable is a link between two stations that may be cut.
@@ -97,7 +98,7 @@
 	}
 	c.up = true
 	c.gen++
-	c.dirs = [2]wireEnd{}
+	c.dirs = [2]wireEnd{{sizer: wire.NewSizer()}, {sizer: wire.NewSizer()}}
 	gen := c.gen
 	for i := range c.ends {
 		n.s.w.after(n.delay(c), func() {
@@ -196,7 +197,7 @@
 	if c.ends[1].peer.Instance == from {
 		dir = 1
 	}
-	n.account(c, c.ends[dir], m)
+	n.account(c, dir, m)
 	if !n.s.connected(c.ends[0].domain, c.ends[1].domain) {
 		c.dirs[dir].held = append(c.dirs[dir].held, m)
 		return true
@@ -236,13 +237,13 @@
 	}
 }
 
-func (n *network) account(c *cable, from *station, m cleat.Message) {
+func (n *network) account(c *cable, dir int, m cleat.Message) {
 	if !isControl(m) {
 		return
 	}
 	began := n.spent.begin()
-	bytes, err := wire.FrameBytes(m)
-	n.spent.end(from.peer.Role, began)
+	bytes, err := c.dirs[dir].sizer.Bytes(m)
+	n.spent.end(c.ends[dir].peer.Role, began)
 	if err != nil {
 		return
 	}
--- a/message.go
+++ b/message.go
@@ -48,10 +48,10 @@
 // Stream identifies requests that are interchangeable to a picker: one
 // workspace, one class, one model.
 type Stream struct {
-	Workspace WorkspaceID  `msgpack:"w"`
-	Class     ClassName    `msgpack:"c"`
-	Kind      UpstreamKind `msgpack:"k"`
-	Model     ModelID      `msgpack:"m"`
+	Workspace WorkspaceID  `msgpack:"w,intern"`
+	Class     ClassName    `msgpack:"c,intern"`
+	Kind      UpstreamKind `msgpack:"k,intern"`
+	Model     ModelID      `msgpack:"m,intern"`
 }
 
 // Offer states how much of a stream waits at an entry now. It replaces the
@@ -80,7 +80,7 @@
 type Grant struct {
 	ID       uint64        `msgpack:"g"` // Unique within the agent's incarnation.
 	Stream   Stream        `msgpack:"s"`
-	Upstream UpstreamID    `msgpack:"u"`
+	Upstream UpstreamID    `msgpack:"u,intern"`
 	Lifetime time.Duration `msgpack:"l"` // From receipt; the agent keeps the slot a little longer.
 }
 
@@ -167,8 +167,8 @@
 
 // UpstreamState is what an agent tells entries of one of its upstreams.
 type UpstreamState struct {
-	Upstream UpstreamID   `msgpack:"u"`
-	Kind     UpstreamKind `msgpack:"k"`
+	Upstream UpstreamID   `msgpack:"u,intern"`
+	Kind     UpstreamKind `msgpack:"k,intern"`
 	Models   []ModelID    `msgpack:"m"`
 	Limit    uint32       `msgpack:"l"` // Requests admitted at once now.
 	Running  uint32       `msgpack:"r"`
@@ -182,7 +182,7 @@
 type AgentState struct {
 	Incarnation Incarnation     `msgpack:"i"`
 	Seq         uint64          `msgpack:"q"`
-	Domain      DomainID        `msgpack:"d"`
+	Domain      DomainID        `msgpack:"d,intern"`
 	Upstreams   []UpstreamState `msgpack:"u"`
 }
 
@@ -194,7 +194,7 @@
 
 // WorkspaceTotal is service received by a workspace, in cost units for one share.
 type WorkspaceTotal struct {
-	Workspace WorkspaceID `msgpack:"w"`
+	Workspace WorkspaceID `msgpack:"w,intern"`
 	Service   float64     `msgpack:"s"`           // Cumulative, divided by the share at the time; never falls.
 	Flying    float64     `msgpack:"f,omitempty"` // Estimated rest of what runs now; a level, replaced by each report.
 	Lift      float64     `msgpack:"l"`           // Raised on return from idle; merged by maximum.
@@ -203,7 +203,7 @@
 
 // LedgerReport carries an agent's cumulative totals for workspaces that changed.
 type LedgerReport struct {
-	Agent       InstanceID       `msgpack:"a"`
+	Agent       InstanceID       `msgpack:"a,intern"`
 	Incarnation Incarnation      `msgpack:"i"`
 	Seq         uint64           `msgpack:"q"`
 	Whole       bool             `msgpack:"w,omitempty"`
@@ -214,7 +214,7 @@
 // present incarnation reported itself. Seen is the recipient's last report that
 // the relay holds, or zero when the relay needs the whole of it.
 type LedgerSums struct {
-	Relay       InstanceID       `msgpack:"r"`
+	Relay       InstanceID       `msgpack:"r,intern"`
 	Incarnation Incarnation      `msgpack:"i"` // The relay's.
 	Seq         uint64           `msgpack:"q"`
 	Seen        uint64           `msgpack:"s"`
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -20,14 +20,16 @@
 	keptBufferBytes = 128 << 10 // Larger buffers are given back after use.
 )
 
-// frameWriter appends encoded frames to a buffer.
+// frameWriter appends encoded frames to a buffer. Names that recur, as the
+// messages' tags mark them, are sent once on a link and by number from then on.
 type frameWriter struct {
-	buf []byte
-	enc *msgpack.Encoder
+	buf   []byte
+	enc   *msgpack.Encoder
+	names map[string]int
 }
 
 func newFrameWriter() *frameWriter {
-	w := &frameWriter{}
+	w := &frameWriter{names: make(map[string]int)}
 	w.enc = msgpack.NewEncoder(w)
 	w.enc.UseCompactInts(true)
 	w.enc.UseCompactFloats(true)
@@ -49,25 +51,51 @@
 
 // frame appends m as one frame and returns its size; on error the buffer is as before.
 func (w *frameWriter) frame(m cleat.Message, maxBytes int) (int, error) {
-	start := len(w.buf)
+	start, named := len(w.buf), len(w.names)
 	w.buf = append(w.buf, 0, 0, 0, 0, byte(m.Kind()))
-	if err := w.enc.Encode(m); err != nil {
-		w.buf = w.buf[:start]
+	if err := w.encode(m); err != nil {
+		w.undo(start, named)
 		return 0, trace.Wrap(err, "frameWriter.frame: encoding kind %d", m.Kind())
 	}
 	size := len(w.buf) - start
 	if size > maxBytes {
-		w.buf = w.buf[:start]
+		w.undo(start, named)
 		return 0, trace.LimitExceeded("frameWriter.frame: frame of kind %d has %d bytes, more than %d", m.Kind(), size, maxBytes)
 	}
 	binary.BigEndian.PutUint32(w.buf[start:], uint32(size-lengthBytes))
 	return size, nil
 }
 
-// FrameBytes returns the size of m on a link, in bytes, or an error when it can't be encoded.
-func FrameBytes(m cleat.Message) (int, error) {
-	w := newFrameWriter()
-	return w.frame(m, math.MaxInt)
+func (w *frameWriter) encode(m cleat.Message) error {
+	return w.enc.WithDict(w.names, func(enc *msgpack.Encoder) error {
+		return enc.Encode(m)
+	})
+}
+
+// undo takes back a frame and the names that the other end would not learn.
+func (w *frameWriter) undo(start, named int) {
+	w.buf = w.buf[:start]
+	for name, n := range w.names {
+		if n >= named {
+			delete(w.names, name)
+		}
+	}
+}
+
+// Sizer tells the size of messages as one direction of a link would send them.
+type Sizer struct {
+	w *frameWriter
+}
+
+// NewSizer returns the sizer of a new link.
+func NewSizer() *Sizer {
+	return &Sizer{w: newFrameWriter()}
+}
+
+// Bytes returns the size of m's frame, in bytes, or an error when it can't be encoded.
+func (s *Sizer) Bytes(m cleat.Message) (int, error) {
+	s.w.buf = s.w.buf[:0]
+	return s.w.frame(m, math.MaxInt)
 }
 
 // take returns the buffered frames and continues with spare.
@@ -77,7 +105,8 @@
 	return b
 }
 
-// frameReader decodes frames from a stream.
+// frameReader decodes frames from a stream; its decoder keeps the names that
+// the other end numbered.
 type frameReader struct {
 	r    *bufio.Reader
 	body []byte
@@ -86,7 +115,9 @@
 }
 
 func newFrameReader(r io.Reader) *frameReader {
-	return &frameReader{r: bufio.NewReaderSize(r, readBufferBytes), dec: msgpack.NewDecoder(nil)}
+	f := &frameReader{r: bufio.NewReaderSize(r, readBufferBytes)}
+	f.dec = msgpack.NewDecoder(&f.src)
+	return f
 }
 
 // next reads one frame and returns its message, nil for an unknown kind, and its size.
@@ -113,7 +144,6 @@
 		return nil, size, nil
 	}
 	r.src.Reset(body)
-	r.dec.Reset(&r.src)
 	if err := r.dec.Decode(m); err != nil {
 		return nil, size, trace.BadParameter("frameReader.next: frame of kind %d can't be decoded: %v", kind, err)
 	}
