queue: offer to one agent first and widen sooner

Cause: three agents with free slots all granted one request; two of the slots stood lent for a round trip and two declines followed. Change: a stream is first offered to the best agent alone and to twice as many after each 30 ms (was: three, doubled after 100 ms).

--- a/queue/config.go
+++ b/queue/config.go
@@ -32,7 +32,7 @@
 
 // Defaults sets what is left out.
 func (c *Config) Defaults() {
-	setDuration(&c.WidenAfter, 100*time.Millisecond)
+	setDuration(&c.WidenAfter, 30*time.Millisecond)
 	setDuration(&c.OfferInterval, 200*time.Millisecond)
 	setDuration(&c.RefreshInterval, 5*time.Second)
 	setDuration(&c.ReviewInterval, 500*time.Millisecond)
@@ -43,7 +43,7 @@
 	setDuration(&c.TrustRefusals, 10*time.Minute)
 	setDuration(&c.PaceWindow, 10*time.Second)
 	setDuration(&c.MaxRetryAfter, time.Minute)
-	setInt(&c.Spread, 3)
+	setInt(&c.Spread, 1)
 	setInt(&c.MaxSpread, 24)
 	setInt(&c.MaxAttempts, 4)
 	setInt(&c.ReorderWindow, 8)
