--- a/ctrl/role_test.go
+++ b/ctrl/role_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand"
 	"net/http"
 	"net/url"
 	"strings"
@@ -17,6 +18,9 @@
 	"marigoldcleat.example/cleat"
 	"marigoldcleat.example/cleat/admin"
 	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/ctrl"
+	"marigoldcleat.example/cleat/fdisk"
+	"marigoldcleat.example/cleat/member"
 	"marigoldcleat.example/cleat/node"
 )
 
@@ -189,6 +193,46 @@
 		})
 	})
 
+	It("puts the claims of a lost entry in doubt, never to be granted again", func() {
+		f := newTunedFleet(func(cfg *ctrl.Config) {
+			cfg.HolderLostAfter = time.Second
+			cfg.Member = member.Config{SuspectAfter: time.Second, DeadAfter: 2 * time.Second, Settle: time.Second}
+		}, "c1")
+		defer f.stop()
+		lost, stopLost := f.startNode("lost", cleat.RoleEntry, node.Config{}, nil)
+		m := cleat.Claim{Workspace: "ring/desk", Key: "k", Request: "r1"}
+		Expect(lost.Claim(m, time.Now().Add(patience)).State).To(Equal(cleat.ClaimGranted))
+		stopLost()
+		n, stop := f.startNode("other", cleat.RoleEntry, node.Config{}, nil)
+		defer stop()
+		m.Request = "r2"
+		Expect(n.Claim(m, time.Now().Add(patience)).State).To(Equal(cleat.ClaimRunning))
+		Eventually(func() cleat.ClaimState { return n.Claim(m, time.Now().Add(patience)).State }, patience).Should(Equal(cleat.ClaimInDoubt))
+		n.Record(cleat.ClaimOutcome{Workspace: m.Workspace, Key: m.Key, Request: "r1", Outcome: cleat.OutcomeNotRun})
+		Consistently(func() cleat.ClaimState { return n.Claim(m, time.Now().Add(patience)).State }, "500ms").Should(Equal(cleat.ClaimInDoubt))
+	})
+
+	It("accepts nothing while its disk is full, says so, and goes on once there is room", func() {
+		disk := fdisk.New(rand.New(rand.NewSource(1)))
+		f := newTunedFleet(func(cfg *ctrl.Config) { cfg.Disk = disk }, "c1")
+		defer f.stop()
+		_, err := f.client().Change(ctx, write("before", "/fleet/classes/before", `{}`))
+		Expect(err).NotTo(HaveOccurred())
+		disk.SetCapacity(1)
+		short, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		_, err = f.client().Change(short, write("full", "/fleet/classes/full", `{}`))
+		Expect(code(err)).To(BeElementOf(admin.CodeNotAccepted, admin.CodeFateUnknown))
+		var s admin.Control
+		Expect(f.client().Get(ctx, admin.PathControl, nil, &s)).To(Succeed())
+		Expect(s.DiskError).NotTo(BeEmpty())
+		disk.SetCapacity(0)
+		Eventually(func() error {
+			_, err := f.client().Change(ctx, write("full", "/fleet/classes/full", `{}`))
+			return err
+		}, patience).Should(Succeed())
+	})
+
 	Describe("in three instances", func() {
 		It("loses nothing accepted when each is lost in turn while changes go on", func() {
 			f := newFleet("c1", "c2", "c3")
--- a/ctrl/suite_test.go
+++ b/ctrl/suite_test.go
@@ -133,7 +133,9 @@
 	folder, err := store.NewFolder(filepath.Join(i.cfg.DataFolder, "log"))
 	Expect(err).NotTo(HaveOccurred())
 	i.disk = &deadDisk{Disk: folder}
-	i.cfg.Disk = i.disk
+	if i.cfg.Disk == nil {
+		i.cfg.Disk = i.disk
+	}
 	i.role, err = ctrl.Open(i.cfg, quiet(i.cfg.ID))
 	Expect(err).NotTo(HaveOccurred())
 	i.ended = make(chan error, 1)
@@ -150,6 +152,9 @@
 func (i *instance) stop() {
 	i.role.Close()
 	Eventually(i.ended, patience).Should(Receive())
+	if i.cfg.Disk == i.disk {
+		i.cfg.Disk = nil
+	}
 }
 
 func (i *instance) url() string { return "http://" + i.role.HTTPAddr() }
@@ -170,6 +175,10 @@
 }
 
 func newFleet(ids ...string) *fleet {
+	return newTunedFleet(func(*ctrl.Config) {}, ids...)
+}
+
+func newTunedFleet(tune func(*ctrl.Config), ids ...string) *fleet {
 	f := &fleet{folder: GinkgoT().TempDir()}
 	var first []cleat.InstanceID
 	for _, id := range ids {
@@ -177,6 +186,7 @@
 	}
 	for _, id := range ids {
 		i := newInstance(id, first, f.folder, f.controlFile())
+		tune(&i.cfg)
 		i.start()
 		f.instances = append(f.instances, i)
 	}
