--- a/admit/config.go
+++ b/admit/config.go
@@ -12,6 +12,7 @@
 	TokenGapTarget   time.Duration
 	MissedShare      float64       // Share of samples that may miss a target.
 	Window           time.Duration // Between two decisions.
+	HoldTime         time.Duration // That the limit is left alone after shrinking it did not help.
 	MinSamples       int           // In a window, before it decides.
 	StartLimit       int           // Without a hint from the upstream.
 	MaxLimit         int
@@ -34,6 +35,9 @@
 	if c.Window == 0 {
 		c.Window = time.Second
 	}
+	if c.HoldTime == 0 {
+		c.HoldTime = 30 * time.Second
+	}
 	if c.MinSamples == 0 {
 		c.MinSamples = 8
 	}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -10,6 +11,16 @@
 // ReportInterval is how often an agent reports its totals.
 const ReportInterval = time.Second
 
+// Thresholds of what is worth a report or sums before RefreshInterval.
+const (
+	ReportQuantum   = 100.0 // Cost units for one share.
+	SumsQuantum     = 200.0 // Cost units for one share.
+	RefreshInterval = 10 * time.Second
+)
+
+// reportSlack lets a report through that a timer asks for a little early.
+const reportSlack = 100 * time.Millisecond
+
 // Account is what one agent knows of a workspace's service, all in cost units for one share.
 type Account struct {
 	workspace cleat.WorkspaceID
@@ -19,6 +30,9 @@
 	elsewhere float64 // Estimated rest of what runs at all others, as last heard.
 	lift      float64
 	changed   bool
+	reported  cell
+	liftTold  float64
+	at        time.Time // Of the last report that named it.
 }
 
 // Workspace returns whose account it is.
@@ -51,6 +65,8 @@
 	order    []*Account // By creation.
 	changed  []*Account
 	touched  []*Account // Scratch for Sums.
+	list     []*Account // Scratch for reports.
+	reportAt time.Time
 	seq      uint64
 	whole    bool
 	relay    cleat.InstanceID
@@ -114,26 +130,53 @@
 func (b *Book) Ready() bool { return b.ready }
 
 // Report returns what changed since the last report, or nil.
-func (b *Book) Report() *cleat.LedgerReport {
-	if len(b.changed) == 0 && !b.whole {
+func (b *Book) Report(now time.Time) *cleat.LedgerReport {
+	if now.Sub(b.reportAt) < ReportInterval-reportSlack && !b.whole {
+		return nil
+	}
+	list := b.due(now)
+	if len(list) == 0 && !b.whole {
 		return nil
 	}
 	b.seq++
+	b.reportAt = now
 	m := &cleat.LedgerReport{Agent: b.self.Instance, Incarnation: b.self.Incarnation, Seq: b.seq, Whole: b.whole}
-	list := b.changed
-	if b.whole {
-		list = b.order
-	}
 	m.Totals = make([]cleat.WorkspaceTotal, 0, len(list))
 	for _, a := range list {
+		a.reported, a.at = cell{a.service, a.flying}, now
 		m.Totals = append(m.Totals, a.total(b.whole))
 	}
+	b.whole = false
+	return m
+}
+
+// due lists the accounts to report and keeps the others that changed for later.
+func (b *Book) due(now time.Time) []*Account {
+	if b.whole {
+		for _, a := range b.changed {
+			a.changed = false
+		}
+		b.changed = b.changed[:0]
+		return b.order
+	}
+	b.list = b.list[:0]
+	kept := b.changed[:0]
 	for _, a := range b.changed {
+		if !a.due(now) {
+			kept = append(kept, a)
+			continue
+		}
 		a.changed = false
+		b.list = append(b.list, a)
 	}
-	b.changed = b.changed[:0]
-	b.whole = false
-	return m
+	b.changed = kept
+	return b.list
+}
+
+// due reports whether the account moved enough, or long ago.
+func (a *Account) due(now time.Time) bool {
+	moved := math.Abs(a.service + a.flying - a.reported.service - a.reported.flying)
+	return moved >= ReportQuantum || a.lift != a.liftTold || now.Sub(a.at) >= RefreshInterval
 }
 
 // Sums takes in the fleet's sums and returns the accounts that they moved; the
@@ -198,9 +241,13 @@
 }
 
 func (a *Account) total(whole bool) cleat.WorkspaceTotal {
-	t := cleat.WorkspaceTotal{Workspace: a.workspace, Service: a.service, Flying: a.flying, Lift: a.lift}
+	t := cleat.WorkspaceTotal{Workspace: a.workspace, Service: math.Floor(a.service), Flying: math.Round(a.flying)}
+	if whole || a.lift != a.liftTold {
+		t.Lift = math.Ceil(a.lift)
+		a.liftTold = a.lift
+	}
 	if whole {
-		t.Known = a.others
+		t.Known = math.Floor(a.others)
 	}
 	return t
 }
--- a/ledger/relay.go
+++ b/ledger/relay.go
@@ -39,6 +39,7 @@
 	seq    uint64
 	sent   []cell
 	lifts  []float64
+	at     []time.Time
 	next   int // Workspace to go on with.
 	ackDue bool
 	ready  bool
@@ -123,7 +124,7 @@
 	if own != nil && own.gap {
 		f.ackDue = true
 	}
-	totals := r.changed(f, own)
+	totals := r.changed(now, f, own)
 	ready := len(totals) < MaxSumsTotals && now.Sub(r.started) > AdoptWindow && !r.started.IsZero()
 	if len(totals) == 0 && !f.ackDue && ready == f.ready {
 		return nil
@@ -283,20 +284,24 @@
 }
 
 // changed lists at most MaxSumsTotals workspaces that moved, going round.
-func (r *Relay) changed(f *feed, own *row) []cleat.WorkspaceTotal {
+func (r *Relay) changed(now time.Time, f *feed, own *row) []cleat.WorkspaceTotal {
 	var totals []cleat.WorkspaceTotal
 	n := len(r.names)
 	for step := 0; step < n && len(totals) < MaxSumsTotals; step++ {
 		i := f.next % n
 		f.next = i + 1
 		c := r.others(i, own)
-		if near(c, f.sent[i]) && r.lifts[i] == f.lifts[i] {
+		moved := math.Abs(c.service + c.flying - f.sent[i].service - f.sent[i].flying)
+		late := moved > 0 && now.Sub(f.at[i]) >= RefreshInterval
+		if moved < SumsQuantum && r.lifts[i] == f.lifts[i] && !late {
 			continue
 		}
-		f.sent[i], f.lifts[i] = c, r.lifts[i]
-		totals = append(totals, cleat.WorkspaceTotal{
-			Workspace: r.names[i], Service: c.service, Flying: c.flying, Lift: r.lifts[i],
-		})
+		t := cleat.WorkspaceTotal{Workspace: r.names[i], Service: c.service, Flying: c.flying}
+		if r.lifts[i] != f.lifts[i] {
+			t.Lift = r.lifts[i]
+		}
+		f.sent[i], f.lifts[i], f.at[i] = c, r.lifts[i], now
+		totals = append(totals, t)
 	}
 	return totals
 }
@@ -310,11 +315,6 @@
 	return c
 }
 
-// near tells whether two cells differ by no more than the rounding of sums.
-func near(a, b cell) bool {
-	return math.Abs(a.service-b.service) <= slack(a.service) && math.Abs(a.flying-b.flying) <= slack(a.service)
-}
-
 func (r *Relay) report(w *row) *cleat.LedgerReport {
 	m := &cleat.LedgerReport{Agent: w.agent, Incarnation: w.incarnation, Seq: w.seq, Whole: true}
 	for i, c := range w.cells {
@@ -364,11 +364,13 @@
 	for len(f.sent) < n {
 		f.sent = append(f.sent, cell{})
 		f.lifts = append(f.lifts, 0)
+		f.at = append(f.at, time.Time{})
 	}
 }
 
 func (f *feed) reset() {
 	clear(f.sent)
 	clear(f.lifts)
+	clear(f.at)
 	f.ackDue = true
 }
--- a/message.go
+++ b/message.go
@@ -56,14 +56,14 @@
 // entry's earlier offer of the stream, so a lost, doubled or late copy does no
 // harm beyond its age.
 type Offer struct {
-	Stream   Stream        `msgpack:"s"`
-	Waiting  uint32        `msgpack:"n"`           // Zero withdraws the stream.
-	Head     Cost          `msgpack:"h"`           // Estimate of the first request.
-	Rank     int           `msgpack:"r"`           // Precedence of the class; lower goes first.
-	Share    float64       `msgpack:"f"`           // The workspace's share of capacity.
-	Age      time.Duration `msgpack:"a"`           // How long the first request has waited.
-	Busy     time.Duration `msgpack:"b,omitempty"` // How long the workspace has had work waiting at the entry without a pause.
-	Affinity uint8         `msgpack:"p,omitempty"` // 0–255: how much of its prefix the entry believes is cached at the agent.
+	Stream   Stream  `msgpack:"s"`
+	Waiting  uint32  `msgpack:"n"`           // Zero withdraws the stream.
+	Head     Cost    `msgpack:"h"`           // Estimate of the first request.
+	Rank     int     `msgpack:"r"`           // Precedence of the class; lower goes first.
+	Share    float64 `msgpack:"f"`           // The workspace's share of capacity.
+	Age      Seconds `msgpack:"a"`           // How long the first request has waited, in whole seconds.
+	Fresh    bool    `msgpack:"b,omitempty"` // The workspace just began to have work waiting at the entry.
+	Affinity uint8   `msgpack:"p,omitempty"` // 0–255: how much of its prefix the entry believes is cached at the agent.
 }
 
 // Offers carries changed offers of one entry to one agent; Seq rises, older ones are dropped.
@@ -195,7 +195,7 @@
 	Workspace WorkspaceID `msgpack:"w"`
 	Service   float64     `msgpack:"s"`           // Cumulative, divided by the share at the time; never falls.
 	Flying    float64     `msgpack:"f,omitempty"` // Estimated rest of what runs now; a level, replaced by each report.
-	Lift      float64     `msgpack:"l"`           // Raised on return from idle; merged by maximum.
+	Lift      float64     `msgpack:"l,omitempty"` // Raised on return from idle; merged by maximum, so zero where it did not change.
 	Known     float64     `msgpack:"k,omitempty"` // In whole reports: what the agent knows of all others' Service.
 }
 
--- a/queue/config.go
+++ b/queue/config.go
@@ -32,9 +32,9 @@
 
 // Defaults sets what is left out.
 func (c *Config) Defaults() {
-	setDuration(&c.WidenAfter, 100*time.Millisecond)
-	setDuration(&c.OfferInterval, 200*time.Millisecond)
-	setDuration(&c.RefreshInterval, 5*time.Second)
+	setDuration(&c.WidenAfter, time.Second)
+	setDuration(&c.OfferInterval, 500*time.Millisecond)
+	setDuration(&c.RefreshInterval, 30*time.Second)
 	setDuration(&c.ReviewInterval, 500*time.Millisecond)
 	setDuration(&c.ResumeGrace, 5*time.Second)
 	setDuration(&c.UpstreamGrace, 5*time.Second)
--- a/queue/fault_test.go
+++ b/queue/fault_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/slots"
 )
 
 func once(w *cleat.Work) { w.Repeatable = false }
@@ -67,7 +68,9 @@
 			f.submit("entry-0", "a/x", 100, class("bid", 0))
 		}
 		last := f.submit("entry-0", "a/x", 50, class("tag", 1))
-		for range 100 {
+		var cfg slots.Config
+		cfg.Defaults()
+		for range int(cfg.AgeingAfter.Seconds()) + 10 {
 			for range 5 {
 				f.submit("entry-0", "a/x", 100, class("bid", 0))
 			}
--- a/queue/offer.go
+++ b/queue/offer.go
@@ -9,6 +9,14 @@
 	"marigoldcleat.example/cleat/route"
 )
 
+// enough is how much waiting work an agent needs to know of: more than it
+// grants between two offers.
+const enough = 16
+
+// freshBound is how long a workspace may have waited and still count as just
+// returned from idle.
+const freshBound = 100 * time.Millisecond
+
 // telling is what one agent was told of one stream.
 type telling struct {
 	agent     *agent
@@ -156,7 +164,9 @@
 	switch {
 	case now.Before(o.heldUntil):
 		o.dirty = false
-	case o.left > 0 && (waiting >= 2*o.left || 2*waiting <= o.left):
+	case o.left > 0 && o.left < enough && waiting >= 4*o.left:
+		o.dirty = true
+	case o.left > 0 && waiting < enough && 4*waiting <= o.left:
 		o.dirty = true
 	case o.left > 0 && now.Sub(o.toldAt) >= refresh:
 		o.dirty = true
@@ -174,8 +184,9 @@
 	s := o.stream
 	m := cleat.Offer{Stream: s.key, Waiting: uint32(s.waiting), Rank: s.rank, Share: s.workspace.share}
 	if r := s.head(); r != nil && s.waiting > 0 {
-		m.Head, m.Age = t.costs.Estimate(&r.work), now.Sub(r.work.Received)
-		m.Busy = now.Sub(s.workspace.busySince)
+		m.Head = cleat.Cost(math.Ceil(float64(t.costs.Estimate(&r.work))))
+		m.Age = cleat.Seconds(math.Floor(now.Sub(r.work.Received).Seconds()))
+		m.Fresh = now.Sub(s.workspace.busySince) <= freshBound
 		m.Affinity = o.affinity(r)
 	}
 	o.left, o.dirty, o.toldAt = s.waiting, false, now
--- a/slots/config.go
+++ b/slots/config.go
@@ -41,7 +41,7 @@
 	setDuration(&c.StateMin, 500*time.Millisecond)
 	setDuration(&c.StatePerEntry, 100*time.Millisecond)
 	setDuration(&c.RememberAttempts, 15*time.Minute)
-	setDuration(&c.AgeingAfter, 30*time.Second)
+	setDuration(&c.AgeingAfter, 2*time.Minute)
 	setDuration(&c.StarveAfter, 30*time.Second)
 	setDuration(&c.AloneAfter, 15*time.Second)
 	if c.MaxRemembered == 0 {
--- a/slots/entry.go
+++ b/slots/entry.go
@@ -110,10 +110,10 @@
 		e.order = append(e.order, o)
 	}
 	if m.Waiting > 0 && !f.item.Queued() {
-		t.arrive(now, f, m.Busy)
+		t.arrive(now, f, m.Fresh)
 	}
 	o.waiting, o.head, o.rank, o.affinity = int(m.Waiting), m.Head, m.Rank, m.Affinity
-	o.since = now.Add(-m.Age)
+	o.since = now.Add(-m.Age.Duration())
 	t.list(o)
 	t.place(f)
 }
--- a/slots/flow.go
+++ b/slots/flow.go
@@ -186,7 +186,7 @@
 // arrive raises a workspace that was not backlogged here: to the least that
 // one of the backlogged received, what runs for it not counted, when it just began to wait, else only to within the slack
 // of them, since it may have waited at other agents.
-func (t *Table) arrive(now time.Time, f *flow, busy time.Duration) {
+func (t *Table) arrive(now time.Time, f *flow, fresh bool) {
 	f.servedAt = now
 	if !t.book.Ready() && now.Sub(t.started) < t.cfg.AloneAfter {
 		return
@@ -195,16 +195,12 @@
 	if least := t.backlog.Min(); least != nil {
 		floor = least.Key()
 	}
-	if busy > freshBound {
+	if !fresh {
 		floor -= float64(t.cfg.ReturnSlack) / f.share
 	}
 	t.book.Raise(f.account, floor)
 }
 
-// freshBound is how long a workspace may have waited and still count as just
-// returned from idle.
-const freshBound = 100 * time.Millisecond
-
 // raiseStarved lets a workspace go first once that has waited long without any
 // service, whatever its totals say.
 func (t *Table) raiseStarved(now time.Time) {
--- a/slots/table.go
+++ b/slots/table.go
@@ -123,8 +123,8 @@
 }
 
 // Report returns the totals that changed since the last report, or nil.
-func (t *Table) Report(time.Time) *cleat.LedgerReport {
-	return t.book.Report()
+func (t *Table) Report(now time.Time) *cleat.LedgerReport {
+	return t.book.Report(now)
 }
 
 // Sums takes in the fleet's totals.
