--- a/queue/config.go
+++ b/queue/config.go
@@ -8,8 +8,9 @@
 
 // Config sets an entry's pace and bounds.
 type Config struct {
-	Spread          int           // Agents that a stream is first offered to.
+	Spread          int           // Agents that a stream is offered to when the best has no free slot or does not grant one.
 	MaxSpread       int           // Agents that it is offered to at most.
+	SecondAfter     time.Duration // Waiting time after which more than the best agent are told.
 	WidenAfter      time.Duration // Waiting time after which twice as many agents are told.
 	RefreshInterval time.Duration // After which an agent is told again what still waits.
 	OfferInterval   time.Duration // Between changed offers to one agent, but for the first of a stream.
@@ -32,6 +33,7 @@
 
 // Defaults sets what is left out.
 func (c *Config) Defaults() {
+	setDuration(&c.SecondAfter, 30*time.Millisecond)
 	setDuration(&c.WidenAfter, time.Second)
 	setDuration(&c.OfferInterval, 500*time.Millisecond)
 	setDuration(&c.RefreshInterval, 30*time.Second)
--- a/queue/offer.go
+++ b/queue/offer.go
@@ -60,7 +60,7 @@
 		if now.Before(s.widenAt) || s.spread >= t.cfg.MaxSpread {
 			continue
 		}
-		s.spread = min(2*s.spread, t.cfg.MaxSpread)
+		s.spread = min(max(2*s.spread, t.cfg.Spread), t.cfg.MaxSpread)
 		s.widenAt = now.Add(t.cfg.WidenAfter)
 	}
 }
@@ -88,30 +88,34 @@
 		}
 	}
 	for told < s.spread && s.lacking != t.epoch {
-		a := t.nearest(s)
+		a, full := t.nearest(s)
 		if a == nil {
 			s.lacking = t.epoch
 			return
 		}
+		if full {
+			s.spread = max(s.spread, t.cfg.Spread)
+		}
 		o := a.telling(s)
 		o.dirty = true
 		told++
 	}
 }
 
-// nearest returns the best agent that was not told of the stream.
-func (t *Table) nearest(s *stream) *agent {
-	var best *agent
+// nearest returns the best agent that was not told of the stream, and whether
+// it seems to have no free slot.
+func (t *Table) nearest(s *stream) (best *agent, full bool) {
 	least := math.Inf(1)
 	for _, a := range t.order {
 		if o, ok := a.tellings[s]; (ok && (o.left > 0 || o.dirty)) || !a.serves(s) {
 			continue
 		}
-		if score := t.candidate(a, s).Score(); score < least {
-			best, least = a, score
+		c := t.candidate(a, s)
+		if score := c.Score(); score < least {
+			best, least, full = a, score, c.Full()
 		}
 	}
-	return best
+	return best, full
 }
 
 func (t *Table) candidate(a *agent, s *stream) route.Candidate {
--- a/route/score.go
+++ b/route/score.go
@@ -24,13 +24,16 @@
 	Random     float64
 }
 
+// Full reports whether the candidate seems to have no free slot.
+func (c Candidate) Full() bool { return c.Running >= c.Limit }
+
 // Score returns the candidate's expected extra cost in cost units; the least goes first.
 func (c Candidate) Score() float64 {
 	score := jitter*c.Random - Saving(c.Matched)
 	if c.Limit > 0 {
 		score += loadPenalty * float64(c.Running) / float64(c.Limit)
 	}
-	if c.Running >= c.Limit {
+	if c.Full() {
 		score += fullPenalty
 	}
 	if !c.SameDomain {
