--- a/ledger/book.go
+++ b/ledger/book.go
@@ -13,8 +13,8 @@
 
 // Thresholds of what is worth a report or sums before RefreshInterval.
 const (
-	ReportQuantum   = 100.0 // Cost units for one share.
-	SumsQuantum     = 200.0 // Cost units for one share.
+	ReportQuantum   = 20.0 // Cost units for one share.
+	SumsQuantum     = 50.0 // Cost units for one share.
 	RefreshInterval = 10 * time.Second
 )
 
