--- a/quorum/core.go
+++ b/quorum/core.go
@@ -72,7 +72,9 @@
 	state   HardState
 	log     *entryLog
 	commit  uint64
-	halted  bool // An invariant was violated; the replica takes no further part.
+	since   uint64            // The term in which this life of the replica began.
+	seen    map[uint64]uint64 // Last proposal by session; looked up only.
+	halted  bool              // An invariant was violated; the replica takes no further part.
 
 	present     time.Time // The latest time seen.
 	duty        Duty
@@ -90,6 +92,8 @@
 // NewCore returns a follower that begins with what was restored.
 func NewCore(cfg Config, now time.Time, r Restored, session uint64, rnd *rand.Rand) *Core {
 	c := &Core{cfg: cfg, rnd: rnd, id: r.Identity, session: session, state: r.State, duty: DutyFollower}
+	c.since = r.State.Term
+	c.seen = map[uint64]uint64{}
 	c.log = newEntryLog(r.Snapshot, r.Entries)
 	c.commit = r.Snapshot.Index
 	c.present = now
@@ -222,7 +226,7 @@
 	case MsgAppend, MsgSnapshot:
 		c.after(Message{Kind: MsgAppendReply, To: m.From, Reject: true, Index: m.Index, Round: m.Round})
 	case MsgPropose:
-		c.send(Message{Kind: MsgProposeReply, To: m.From, Origin: m.Origin, ID: m.ID})
+		c.refuse(m)
 	}
 }
 
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -45,7 +45,6 @@
 	leaseFrom time.Time // When that round was sent; zero while none was.
 	quietTill time.Time // Earlier leaders may hold leases until then.
 	beatDue   time.Time
-	seen      map[uint64]uint64 // Last proposal by session, to drop second copies.
 	reads     []pendingRead
 	readRound uint64 // The round that the newest reads wait for.
 }
@@ -63,7 +62,6 @@
 		progress:  map[ReplicaID]*progress{},
 		first:     c.log.last() + 1,
 		quietTill: now.Add(c.cfg.leaseWait()),
-		seen:      map[uint64]uint64{},
 	}
 	c.trackMembers(now)
 	c.appendOwn(Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryEmpty})
@@ -95,17 +93,24 @@
 
 func (c *Core) reachesQuorum(now time.Time) bool {
 	n := 0
-	if c.isVoter() {
-		n++
-	}
-	for _, m := range c.otherMembers() {
-		if !m.Learner && now.Sub(c.lead.progress[m.Replica].heard) < c.cfg.ElectionTimeout {
+	members, _ := c.log.members()
+	for _, m := range members {
+		if !m.Learner && c.isHeard(now, m.Replica) {
 			n++
 		}
 	}
 	return n >= c.majority()
 }
 
+// isHeard reports whether a replica, or this one, was heard within the election timeout.
+func (c *Core) isHeard(now time.Time, id ReplicaID) bool {
+	if id == c.id.Replica {
+		return true
+	}
+	p, ok := c.lead.progress[id]
+	return ok && now.Sub(p.heard) < c.cfg.ElectionTimeout
+}
+
 // beat sends a new round of heartbeats.
 func (c *Core) beat(now time.Time) {
 	c.lead.round++
--- a/quorum/log_test.go
+++ b/quorum/log_test.go
@@ -38,6 +38,16 @@
 		settle(c)
 	})
 
+	It("forms a log although a clock is set back before", func() {
+		c := trial.New(small(3, 0, 1))
+		c.Nodes()[1].SetClock(-time.Hour, 1)
+		c.Nodes()[0].Crash()
+		c.Run(time.Second)
+		c.Nodes()[0].Start()
+		Expect(c.AwaitLeader(5*time.Second) == nil).To(BeFalse())
+		settle(c)
+	})
+
 	It("hands leadership over without waiting for a timeout", func() {
 		c := trial.New(small(3, 0, 2))
 		leader := c.AwaitLeader(5 * time.Second)
--- a/quorum/members.go
+++ b/quorum/members.go
@@ -34,7 +34,7 @@
 	if !c.configCommitted() {
 		return Output{}, trace.LimitExceeded("Core.ChangeMembers: another change is under way")
 	}
-	members, err := c.changed(change)
+	members, err := c.changed(now, change)
 	if err != nil {
 		return Output{}, trace.Wrap(err)
 	}
@@ -49,7 +49,7 @@
 	return index <= c.commit
 }
 
-func (c *Core) changed(change MemberChange) ([]Member, error) {
+func (c *Core) changed(now time.Time, change MemberChange) ([]Member, error) {
 	current, _ := c.log.members()
 	members := slices.Clone(current)
 	i := slices.IndexFunc(members, func(m Member) bool { return m.Replica == change.Member.Replica })
@@ -60,12 +60,28 @@
 		return nil, trace.BadParameter("Core.ChangeMembers: %s is no member", change.Member.Replica)
 	}
 	if change.Kind == ChangePromote {
-		return c.promoted(members, i)
+		return c.promoted(now, members, i)
 	}
 	if !members[i].Learner && countVoters(members) == 1 {
 		return nil, trace.BadParameter("Core.ChangeMembers: the last voter can't be removed")
 	}
-	return slices.Delete(members, i, i+1), nil
+	members = slices.Delete(members, i, i+1)
+	return members, c.checkReachable(now, members)
+}
+
+// checkReachable refuses a member list of which no quorum was heard lately: the
+// change could never be committed, nor taken back.
+func (c *Core) checkReachable(now time.Time, members []Member) error {
+	n := 0
+	for _, m := range members {
+		if !m.Learner && c.isHeard(now, m.Replica) {
+			n++
+		}
+	}
+	if n < countVoters(members)/2+1 {
+		return trace.LimitExceeded("Core.ChangeMembers: only %d of the voters left answer", n)
+	}
+	return nil
 }
 
 func addLearner(members []Member, i int, m Member) ([]Member, error) {
@@ -79,7 +95,7 @@
 	return append(members, m), nil
 }
 
-func (c *Core) promoted(members []Member, i int) ([]Member, error) {
+func (c *Core) promoted(now time.Time, members []Member, i int) ([]Member, error) {
 	m := &members[i]
 	if !m.Learner {
 		return nil, trace.BadParameter("Core.ChangeMembers: %s votes already", m.Replica)
@@ -96,5 +112,5 @@
 		return nil, trace.LimitExceeded("Core.ChangeMembers: %s has not caught up", m.Replica)
 	}
 	m.Learner = false
-	return members, nil
+	return members, c.checkReachable(now, members)
 }
--- a/quorum/propose.go
+++ b/quorum/propose.go
@@ -47,19 +47,32 @@
 // handlePropose appends a follower's command. Numbers rise within a session
 // and the term must be the leader's own, so a second copy is never appended.
 func (c *Core) handlePropose(now time.Time, m *Message) {
-	if c.duty != DutyLeader {
-		c.send(Message{Kind: MsgProposeReply, To: m.From, Origin: m.Origin, ID: m.ID})
+	if c.duty != DutyLeader || !c.hasRoom() || len(m.Data) > c.cfg.MaxCommandBytes {
+		c.refuse(m)
 		return
 	}
-	if m.ID <= c.lead.seen[m.Origin] {
-		return
+	if c.isNew(m) {
+		c.appendCommand(now, m.Origin, m.ID, m.Data)
 	}
-	c.lead.seen[m.Origin] = m.ID
-	if !c.hasRoom() || len(m.Data) > c.cfg.MaxCommandBytes {
+}
+
+// refuse tells the proposer that its command was certainly not accepted. That
+// is known only of a command never seen before, sent to this replica as the
+// leader of a term that no earlier life of it can have led; about any other
+// nothing is said, because an earlier copy may be in the log.
+func (c *Core) refuse(m *Message) {
+	if m.Term > c.since && c.isNew(m) {
 		c.send(Message{Kind: MsgProposeReply, To: m.From, Origin: m.Origin, ID: m.ID})
-		return
 	}
-	c.appendCommand(now, m.Origin, m.ID, m.Data)
+}
+
+// isNew reports whether a proposal is seen for the first time, and notes it.
+func (c *Core) isNew(m *Message) bool {
+	if m.ID <= c.seen[m.Origin] {
+		return false
+	}
+	c.seen[m.Origin] = m.ID
+	return true
 }
 
 func (c *Core) handleProposeReply(m *Message) {
--- /dev/null
+++ b/quorum/random_test.go
@@ -0,0 +1,52 @@
+package quorum_test
+
+import (
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/trial"
+)
+
+// seedFlag is rapid's; a fixed one makes every run of the tests the same.
+const (
+	seedFlag   = "rapid.seed"
+	checksFlag = "rapid.checks"
+	fixedSeed  = "20261203"
+)
+
+func setDefaultFlag(t *testing.T, name, value string) {
+	f := flag.Lookup(name)
+	if f.Value.String() != f.DefValue {
+		return
+	}
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRandomFaults lets anything happen in any order.
+func TestRandomFaults(t *testing.T) {
+	defer assert.SetHook(func(name, msg string) { panic(name + ": " + msg) })()
+	setDefaultFlag(t, seedFlag, fixedSeed)
+	setDefaultFlag(t, checksFlag, "60")
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "size")
+		c := trial.New(small(size, 1, rapid.Int64().Draw(t, "seed")))
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
+		actions := trial.Actions()
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			a := actions[pick(len(actions))]
+			t.Logf("at %s: %s", c.Now(), a.Name)
+			a.Run(c, pick)
+		}
+		if v := c.Settle(); len(v) > 0 {
+			for _, n := range c.Nodes() {
+				t.Logf("%s", n)
+			}
+			t.Fatalf("%d violations, first: %s", len(v), v[:min(len(v), 4)])
+		}
+	})
+}
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -35,6 +35,7 @@
 	outbox     []Envelope
 	addresses  map[ReplicaID]cleat.InstanceID // Of senders; looked up only.
 	fresh      Fresh
+	present    time.Time // Of the last tick.
 	joinDue    time.Time
 	candidates []Candidate // By instance.
 }
@@ -85,6 +86,7 @@
 
 // Tick lets time pass.
 func (r *Replica) Tick(now time.Time) {
+	r.observe(now)
 	r.process(now, r.core.Tick(now))
 	r.waiters.expire(now)
 	r.repeatReads(now)
@@ -93,6 +95,18 @@
 	r.compact()
 }
 
+// observe moves what is timed along when the clock was set back.
+func (r *Replica) observe(now time.Time) {
+	back := r.present.Sub(now)
+	r.present = now
+	if back <= 0 {
+		return
+	}
+	r.joinDue = now
+	r.candidates = nil
+	r.waiters.setBack(back)
+}
+
 // Receive handles a message from another instance; one that can't be read is a
 // trace.BadParameter error.
 func (r *Replica) Receive(now time.Time, p *cleat.PeerMessage) error {
--- a/quorum/waiter.go
+++ b/quorum/waiter.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// setBack moves all times to the past.
+func (w *waiters) setBack(d time.Duration) {
+	for _, x := range w.list {
+		x.deadline = x.deadline.Add(-d)
+		x.asked = x.asked.Add(-d)
+	}
+}
+
 // expire gives up on callers whose deadline has passed.
 func (w *waiters) expire(now time.Time) {
 	w.finishAll(func(x *waiter) bool { return !now.Before(x.deadline) }, func() error {
