--- /dev/null
+++ b/quorum/fault_test.go
@@ -0,0 +1,189 @@
+package quorum_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat/quorum"
+	"marigoldcleat.example/cleat/trial"
+)
+
+var _ = Describe("Faults", func() {
+	start := func(size, spare int, seed int64) (*trial.Cluster, *trial.Node) {
+		GinkgoHelper()
+		c := trial.New(small(size, spare, seed))
+		leader := c.AwaitLeader(5 * time.Second)
+		Expect(leader == nil).To(BeFalse())
+		return c, leader
+	}
+
+	other := func(c *trial.Cluster, not ...*trial.Node) *trial.Node {
+		for _, n := range c.Nodes() {
+			if !containsNode(not, n) {
+				return n
+			}
+		}
+		return nil
+	}
+
+	partitions := map[string]struct{ sends, receives bool }{
+		"what it sends":    {true, false},
+		"what it receives": {false, true},
+		"both ways":        {true, true},
+	}
+	for name, p := range partitions {
+		for _, size := range []int{3, 5} {
+			It(fmt.Sprintf("survives an hour in which the leader of %d loses silently %s", size, name), func() {
+				c, leader := start(size, 0, 11)
+				c.Isolate(leader, p.sends, p.receives)
+				before := c.Accepted()
+				for range 360 {
+					leader.Propose()
+					leader.Confirm(nil)
+					other(c, leader).Propose()
+					other(c, leader).Confirm(nil)
+					c.Run(10 * time.Second)
+				}
+				Expect(c.Accepted()-before).To(BeNumerically(">=", 355), "accepted on the side of the majority")
+				settle(c)
+			})
+		}
+	}
+
+	It("has no second holder of the order lease while the old leader is cut off", func() {
+		c, leader := start(3, 0, 12)
+		c.Run(2 * time.Second)
+		Expect(leader.Status().Lease).To(BeTrue())
+		leader.SetClock(0, 0.98)
+		other(c, leader).SetClock(0, 1.02)
+		c.Isolate(leader, true, true)
+		Expect(c.RunUntil(5*time.Second, func() bool {
+			next := c.Leader()
+			return next != nil && next != leader && next.Status().Lease
+		})).To(BeTrue())
+		Expect(leader.Status().Lease).To(BeFalse())
+		settle(c)
+	})
+
+	It("loses nothing when a second instance is lost right after a replacement", func() {
+		c, leader := start(3, 0, 13)
+		proposeOn(c, leader, 50, 5*time.Millisecond)
+		lost := other(c, leader)
+		lost.Crash()
+		lost.Wipe()
+		lost.Start()
+		proposeOn(c, leader, 20, 5*time.Millisecond)
+		for range 4 {
+			c.Run(2 * time.Second)
+			c.Repair()
+		}
+		c.Run(time.Second)
+		Expect(leader.Status().Members).To(ConsistOf(HaveField("Learner", false), HaveField("Learner", false), HaveField("Learner", false)))
+		second := other(c, leader, lost)
+		second.Crash()
+		second.Wipe()
+		proposeOn(c, lost, 20, 5*time.Millisecond)
+		c.Run(time.Second)
+		Expect(c.Accepted()).To(Equal(90))
+		settle(c)
+	})
+
+	It("gives a wiped disk no vote under its old name", func() {
+		c, leader := start(3, 0, 14)
+		proposeOn(c, leader, 10, 5*time.Millisecond)
+		wiped := other(c, leader)
+		old := wiped.Status().Replica
+		wiped.Crash()
+		wiped.Wipe()
+		wiped.Start()
+		Expect(wiped.Status().Replica).NotTo(Equal(old))
+		other(c, leader, wiped).Crash()
+		before := c.Accepted()
+		leader.Propose()
+		c.Run(10 * time.Second)
+		Expect(c.Leader() == nil).To(BeTrue(), "one of three with its data is no quorum")
+		Expect(c.Accepted()).To(Equal(before))
+		settle(c)
+	})
+
+	It("keeps all over restarts after hundreds of changes and after a snapshot", func() {
+		c, leader := start(3, 0, 15)
+		for range 3 {
+			proposeOn(c, leader, 300, time.Millisecond)
+			c.Run(time.Second)
+			leader.Snapshot()
+			proposeOn(c, leader, 7, time.Millisecond)
+			c.Run(time.Second)
+			for _, n := range c.Nodes() {
+				n.Crash()
+			}
+			for _, n := range c.Nodes() {
+				n.Start()
+			}
+			leader = c.AwaitLeader(5 * time.Second)
+		}
+		Expect(c.Accepted()).To(Equal(921))
+		settle(c)
+	})
+
+	It("brings a laggard up with a snapshot in chunks while messages are lost", func() {
+		c, leader := start(3, 0, 16)
+		behind := other(c, leader)
+		behind.Crash()
+		proposeOn(c, leader, 200, time.Millisecond)
+		c.Run(time.Second)
+		Expect(leader.Status().Snapshot).To(BeNumerically(">", 100))
+		c.SetFaults(trial.Faults{Drop: 0.1, Double: 0.1, Late: 0.1, LateBy: 50 * time.Millisecond})
+		behind.Start()
+		Expect(c.RunUntil(time.Minute, func() bool {
+			return behind.Status().Applied >= 200
+		})).To(BeTrue())
+		settle(c)
+	})
+
+	It("survives a crash at every operation of any disk", func() {
+		for _, size := range []int{1, 3} {
+			for victim := range size {
+				for at := 1; at <= 60; at++ {
+					c, leader := start(size, 0, int64(at))
+					node := c.Nodes()[victim]
+					node.Disk().CrashAt(at)
+					proposeOn(c, leader, 25, 3*time.Millisecond)
+					leader.Snapshot()
+					proposeOn(c, leader, 10, 3*time.Millisecond)
+					c.Run(time.Second)
+					node.Start()
+					Expect(c.Settle()).To(BeEmpty(), "instances %d, victim %d, operation %d", size, victim, at)
+				}
+			}
+		}
+	})
+
+	It("takes racing membership changes one at a time", func() {
+		c, leader := start(5, 1, 17)
+		members := leader.Status().Members
+		accepted := 0
+		for _, m := range members[:3] {
+			leader.Change(quorum.MemberChange{Kind: quorum.ChangeRemove, Member: m}, func(err error) {
+				if err == nil {
+					accepted++
+				}
+			})
+		}
+		c.Run(time.Second)
+		Expect(accepted).To(Equal(1))
+		settle(c)
+	})
+})
+
+func containsNode(list []*trial.Node, n *trial.Node) bool {
+	for _, x := range list {
+		if x == n {
+			return true
+		}
+	}
+	return false
+}
--- a/quorum/persist.go
+++ b/quorum/persist.go
@@ -139,6 +139,9 @@
 func (r *Replica) release(now time.Time, after []Message) {
 	for i := range after {
 		m := &after[i]
+		if r.isOutdated(m) {
+			continue
+		}
 		r.checkDurable(m)
 		if m.To == r.core.id.Replica {
 			r.process(now, r.core.Step(now, m))
@@ -148,6 +151,12 @@
 	}
 }
 
+// isOutdated reports whether m acknowledges entries of an older term, which a
+// newer leader may have replaced before they were synced.
+func (r *Replica) isOutdated(m *Message) bool {
+	return m.Kind == MsgAppendReply && !m.Reject && m.Term < r.durable.Term
+}
+
 // checkDurable asserts that a replica acknowledges only what is synced.
 func (r *Replica) checkDurable(m *Message) {
 	if m.Reject {
--- /dev/null
+++ b/quorum/replica_test.go
@@ -0,0 +1,105 @@
+package quorum_test
+
+import (
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat/fdisk"
+	"marigoldcleat.example/cleat/quorum"
+	"marigoldcleat.example/cleat/store"
+)
+
+// entries returns empty entries of one term with consecutive places.
+func entries(first, last, term uint64) []quorum.Entry {
+	var list []quorum.Entry
+	for i := first; i <= last; i++ {
+		list = append(list, quorum.Entry{Index: i, Term: term, Kind: quorum.EntryEmpty})
+	}
+	return list
+}
+
+var _ = Describe("Replica", func() {
+	now := time.Unix(1_000_000, 0)
+	var (
+		replica *quorum.Replica
+		disk    *store.Store
+	)
+
+	BeforeEach(func() {
+		s, _, err := store.Open(store.Config{}, fdisk.New(rand.New(rand.NewSource(1))))
+		Expect(err).NotTo(HaveOccurred())
+		disk = s
+		restored := quorum.Restored{Identity: quorum.Identity{Instance: "c1", Replica: "r1"}}
+		replica, err = quorum.NewReplica(quorum.Config{Self: "c1"}, now, restored, nil, &counter{},
+			quorum.Fresh{Session: 1, Cluster: "log"}, rand.New(rand.NewSource(1)))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	receive := func(m quorum.Message) {
+		GinkgoHelper()
+		m.Cluster = "log"
+		m.To = "r1"
+		m.Instance = "c2"
+		data, err := quorum.Envelope{Message: &m}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(replica.Receive(now, data)).To(Succeed())
+	}
+
+	// sync writes what is to be written and returns the messages that followed.
+	sync := func() []quorum.Envelope {
+		GinkgoHelper()
+		b := replica.Work()
+		Expect(b).NotTo(BeNil())
+		Expect(b.Write(disk)).To(Succeed())
+		replica.Synced(now, b)
+		return replica.Outbox()
+	}
+
+	// Found by the randomised run, seed 2552671.
+	It("does not acknowledge entries that a newer leader replaced before they were synced", func() {
+		receive(quorum.Message{Kind: quorum.MsgAppend, From: "r2", Term: 1, Entries: entries(1, 6, 1)})
+		receive(quorum.Message{Kind: quorum.MsgAppend, From: "r3", Term: 2, Index: 4, LogTerm: 1, Entries: entries(5, 5, 2)})
+		Expect(replica.Outbox()).To(BeEmpty())
+		out := sync()
+		Expect(out).To(HaveLen(1))
+		Expect(out[0].Message.To).To(Equal(quorum.ReplicaID("r3")))
+		Expect(out[0].Message.Index).To(Equal(uint64(5)))
+	})
+
+	It("votes only once its vote is synced, and once in a term", func() {
+		receive(quorum.Message{Kind: quorum.MsgVote, From: "r2", Term: 3})
+		Expect(replica.Outbox()).To(BeEmpty())
+		out := sync()
+		Expect(out).To(HaveLen(1))
+		Expect(out[0].Message.Reject).To(BeFalse())
+		receive(quorum.Message{Kind: quorum.MsgVote, From: "r3", Term: 3})
+		out = replica.Outbox()
+		Expect(out).To(HaveLen(1))
+		Expect(out[0].Message.Reject).To(BeTrue())
+	})
+
+	// Found by the randomised run, seed 1: a second copy of a proposal that was
+	// accepted came after its leader had stepped down.
+	It("does not refuse a proposal that an earlier copy may have put into the log", func() {
+		receive(quorum.Message{Kind: quorum.MsgAppend, From: "r2", Term: 4})
+		sync()
+		receive(quorum.Message{Kind: quorum.MsgPropose, From: "r3", Term: 3, Origin: 9, ID: 1})
+		out := replica.Outbox()
+		Expect(out).To(HaveLen(1))
+		Expect(out[0].Message.Kind).To(Equal(quorum.MsgProposeReply))
+		receive(quorum.Message{Kind: quorum.MsgPropose, From: "r3", Term: 3, Origin: 9, ID: 1})
+		Expect(replica.Outbox()).To(BeEmpty())
+	})
+
+	It("ignores what is meant for lost data", func() {
+		m := quorum.Message{Kind: quorum.MsgVote, Cluster: "log", From: "r2", Instance: "c2", To: "r0", Term: 9}
+		data, err := quorum.Envelope{Message: &m}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(replica.Receive(now, data)).To(Succeed())
+		Expect(replica.Work()).To(BeNil())
+		Expect(replica.Outbox()).To(BeEmpty())
+	})
+})
--- a/quorum/suite_test.go
+++ b/quorum/suite_test.go
@@ -47,20 +47,8 @@
 	}
 }
 
-// settle heals all faults, starts all instances and expects that they agree.
+// settle takes all faults back and expects that nothing was violated.
 func settle(c *trial.Cluster) {
 	GinkgoHelper()
-	c.Heal()
-	c.SetFaults(trial.Faults{})
-	for _, n := range c.Nodes() {
-		n.Disk().SetCapacity(0)
-		n.Disk().FailSyncs(0)
-		n.Disk().CrashAt(0)
-		n.Start()
-		Expect(n.Err()).NotTo(HaveOccurred())
-	}
-	Expect(c.AwaitLeader(30*time.Second) == nil).To(BeFalse(), "no leader")
-	c.Run(5 * time.Second)
-	c.CheckAll()
-	Expect(c.Violations()).To(BeEmpty())
+	Expect(c.Settle()).To(BeEmpty())
 }
