Go on from one instance's state after most of a log is lost

A quorum lost for good leaves settings, tokens and claims on the instances that remain, out of reach without a leader. The revision rises by 1,000 and every node is sent the whole tree, so that a node that ran a later revision of the lost log never goes back nor stays.

--- a/admin/types.go
+++ b/admin/types.go
@@ -21,6 +21,7 @@
 	PathControl   = "/v1/ctrl"
 	PathReplicas  = "/v1/ctrl/replicas"
 	PathSnapshot  = "/v1/ctrl/snapshot"
+	PathState     = "/v1/ctrl/state"
 )
 
 // Code tells programs why a call failed.
@@ -149,3 +150,12 @@
 	Action   cleat.ReplicaAction `json:"action"`
 	Instance cleat.InstanceID    `json:"instance"`
 }
+
+// State is one control instance's own state, which may lack what was accepted
+// last: settings, tokens (as hashes) and claims.
+type State struct {
+	Instance cleat.InstanceID `json:"instance"`
+	Applied  uint64           `json:"applied"`
+	Settings cleat.Revision   `json:"settings"`
+	State    []byte           `json:"state"`
+}
--- a/cmd/cleatctl/ctrl.go
+++ b/cmd/cleatctl/ctrl.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
 	"marigoldcleat.example/cleat/admin"
@@ -34,6 +36,13 @@
 	usageCtrlSnapshot = `Has one control instance replace its log by a snapshot.
 
   cleatctl --server 10.0.0.1:7080 ctrl snapshot`
+
+	usageCtrlDump = `Writes one control instance's own state to a file, also when there is no
+quorum. "ctrl --seed" makes a new log from it after most instances were lost
+for good. It may lack what was accepted last; docs/RECOVERY.md tells how to go
+about it. The file holds claims and hashes of tokens: keep it safe.
+
+  cleatctl --server 10.0.0.1:7080 ctrl dump --out state.bin`
 )
 
 // ctrlClause returns the parent of the ctrl commands, made once.
@@ -146,3 +155,19 @@
 		return nil
 	}
 }
+
+func registerCtrlDump(app *kingpin.Application) (string, command) {
+	c := ctrlClause(app).Command("dump", usageCtrlDump)
+	out := c.Flag("out", "File to write.").Required().String()
+	return c.FullCommand(), func(ctx context.Context, e *env) error {
+		var s admin.State
+		if err := e.only(0).Get(ctx, admin.PathState, nil, &s); err != nil {
+			return err
+		}
+		if err := os.WriteFile(*out, s.State, secretMode); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		fmt.Fprintf(e.out, "state of %s after entry %d, settings at revision %d, in %s\n", s.Instance, s.Applied, s.Settings, *out)
+		return nil
+	}
+}
--- a/cmd/cleatctl/main.go
+++ b/cmd/cleatctl/main.go
@@ -40,7 +40,7 @@
 var registers = []register{
 	registerGet, registerSet, registerDelete, registerList, registerHistory, registerWatch, registerStatus,
 	registerTokenCreate, registerTokenList, registerTokenRevoke, registerImport, registerExport,
-	registerCtrlStatus, registerCtrlAdd, registerCtrlRemove, registerCtrlReplace, registerCtrlSnapshot,
+	registerCtrlStatus, registerCtrlAdd, registerCtrlRemove, registerCtrlReplace, registerCtrlSnapshot, registerCtrlDump,
 }
 
 func main() {
--- a/cmd/ctrl/main.go
+++ b/cmd/ctrl/main.go
@@ -41,6 +41,7 @@
 	controlFile string
 	first       []string
 	join        []string
+	seed        string
 }
 
 func main() {
@@ -60,6 +61,7 @@
 	app.Flag("control-file", "File with link addresses of control instances, one a line, read again while running.").Envar("CLEAT_CONTROL_FILE").StringVar(&s.controlFile)
 	app.Flag("first", "Name of an instance that forms a new log together with this one; repeatable, this one included.").Envar("CLEAT_FIRST").StringsVar(&s.first)
 	app.Flag("join", "Name of an instance of the log that this one joins; repeatable.").Envar("CLEAT_JOIN").StringsVar(&s.join)
+	app.Flag("seed", "File from \"cleatctl ctrl dump\" that a new log of this instance alone takes over.").Envar("CLEAT_SEED").StringVar(&s.seed)
 	if _, err := app.Parse(args); err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
@@ -96,7 +98,7 @@
 		ID: cleat.InstanceID(s.common.ID), Domain: cleat.DomainID(s.common.Domain),
 		Listen: s.common.Listen, HTTP: s.common.HTTP, DataFolder: s.data,
 		Controls: s.common.Controls, ControlFile: s.controlFile,
-		First: instances(s.first), Join: instances(s.join), Wire: links,
+		First: instances(s.first), Join: instances(s.join), Seed: s.seed, Wire: links,
 	}
 	cfg.Defaults()
 	return cfg, trace.Wrap(cfg.Validate())
--- a/config/state.go
+++ b/config/state.go
@@ -141,6 +141,18 @@
 	return len(s.Path) + len(s.Value)
 }
 
+// TakeOverGap is how far the revision rises when a new log takes over the
+// state of a lost one, so that no node runs a later revision of the lost log.
+const TakeOverGap = 1000
+
+// TakeOver raises the revision over all that the lost log may have reached
+// without this state, and has every node sent the whole tree.
+func (s *State) TakeOver() {
+	s.revision += TakeOverGap
+	s.deltaFloor = s.revision
+	s.deletions = nil
+}
+
 // MaxDeletions bounds the deleted paths remembered for deltas.
 const MaxDeletions = 10000
 
--- a/ctrl/api.go
+++ b/ctrl/api.go
@@ -44,6 +44,7 @@
 	e.GET(admin.PathWorkspace, r.authorised(r.getWorkspace, !fleetToken))
 	e.GET(admin.PathControl, r.authorised(r.getControl, fleetToken))
 	e.POST(admin.PathReplicas, r.authorised(r.postReplicas, fleetToken))
+	e.GET(admin.PathState, r.authorised(r.getState, fleetToken))
 	e.POST(admin.PathSnapshot, r.authorised(r.postSnapshot, fleetToken))
 	return e
 }
--- a/ctrl/api_status.go
+++ b/ctrl/api_status.go
@@ -176,3 +176,16 @@
 	}
 	return c.NoContent(http.StatusNoContent)
 }
+
+// getState answers with this instance's own state, also without a quorum, for
+// the recovery of a log that lost most of its instances.
+func (r *Role) getState(c echo.Context, who caller) error {
+	if !who.token.Write {
+		return failed(http.StatusForbidden, admin.CodeForbidden, "the token may not write")
+	}
+	state, err := r.machine.Snapshot()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return c.JSON(http.StatusOK, admin.State{Instance: r.self.Instance, Applied: r.host.Status().Applied, Settings: r.machine.Revision(), State: state})
+}
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -39,6 +39,7 @@
 	ControlFile string             // File with further link addresses, one a line, read again while running.
 	First       []cleat.InstanceID // The instances that form a new log together; empty to join one.
 	Join        []cleat.InstanceID // The instances of the log to join.
+	Seed        string             // File with the state of a lost log, taken over by a new log of one instance.
 	Wire        wire.Config
 	Member      member.Config
 	Order       order.Config
@@ -93,6 +94,9 @@
 	if len(c.First) > 0 && len(c.Join) > 0 {
 		return trace.BadParameter("Config.Validate: an instance either forms a new log or joins one")
 	}
+	if c.Seed != "" && (len(c.First) != 1 || c.First[0] != c.ID) {
+		return trace.BadParameter("Config.Validate: only a new log of this instance alone can take over a state")
+	}
 	if err := c.Wire.Validate(); err != nil {
 		return trace.Wrap(err)
 	}
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
 	"marigoldcleat.example/cleat/claim"
 	"marigoldcleat.example/cleat/config"
 )
@@ -17,6 +18,7 @@
 	Change *config.ChangeCommand `msgpack:"c,omitempty"`
 	Token  *config.TokenCommand  `msgpack:"t,omitempty"`
 	Claim  *claim.Command        `msgpack:"l,omitempty"`
+	Image  []byte                `msgpack:"i,omitempty"` // The state of a lost log, for an empty one.
 }
 
 // image is the whole machine in the form a snapshot of the log keeps.
@@ -67,10 +69,29 @@
 		r := m.claims.Apply(*c.Claim)
 		m.noteTime(before)
 		return encode(&r)
+	case c.Image != nil:
+		return m.settled(m.seed(c.Image))
 	}
 	return nil
 }
 
+// seed takes over the state of a lost log if this one is empty.
+func (m *Machine) seed(b []byte) cleat.ChangeResult {
+	if !m.empty() {
+		return cleat.ChangeResult{Code: cleat.ChangeConflict, Problem: "the log is not empty", Revision: m.settings.Revision()}
+	}
+	if err := m.load(b); err != nil {
+		return cleat.ChangeResult{Code: cleat.ChangeInvalid, Problem: trace.UserMessage(err)}
+	}
+	m.settings.TakeOver()
+	return cleat.ChangeResult{Accepted: true, Revision: m.settings.Revision()}
+}
+
+func (m *Machine) empty() bool {
+	tokens := m.settings.Tokens(config.Token{Subtree: config.FleetSubtree})
+	return m.settings.Revision() == 0 && len(tokens) == 0 && m.claims.Len() == 0
+}
+
 // settled wakes who waits for a change and encodes the answer to it.
 func (m *Machine) settled(r cleat.ChangeResult) []byte {
 	if r.Accepted {
@@ -116,21 +137,34 @@
 
 // Restore replaces the state by a snapshot, which must not be older.
 func (m *Machine) Restore(snapshot []byte) error {
-	var im image
-	if err := msgpack.Unmarshal(snapshot, &im); err != nil {
-		return trace.Wrap(err, "Machine.Restore")
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if err := m.settings.Unmarshal(im.Settings); err != nil {
+	if err := m.load(snapshot); err != nil {
 		return trace.Wrap(err, "Machine.Restore")
 	}
-	before := m.claims.Elapsed()
-	if err := m.claims.Unmarshal(im.Claims); err != nil {
-		return trace.Wrap(err, "Machine.Restore")
+	m.wake()
+	return nil
+}
+
+func (m *Machine) load(b []byte) error {
+	var im image
+	if err := msgpack.Unmarshal(b, &im); err != nil {
+		return trace.BadParameter("the state can't be read: %v", err)
 	}
+	settings, claims := config.NewState(), claim.NewTable()
+	if err := settings.Unmarshal(im.Settings); err != nil {
+		return err
+	}
+	if err := claims.Unmarshal(im.Claims); err != nil {
+		return err
+	}
+	if settings.Revision() < m.settings.Revision() {
+		assert.Fail("config.revision", "a state at revision %d would replace revision %d", settings.Revision(), m.settings.Revision())
+		return trace.BadParameter("revision %d is older than %d", settings.Revision(), m.settings.Revision())
+	}
+	before := m.claims.Elapsed()
+	m.settings, m.claims = settings, claims
 	m.noteTime(before)
-	m.wake()
 	return nil
 }
 
--- a/ctrl/role.go
+++ b/ctrl/role.go
@@ -45,6 +45,7 @@
 	metrics *telem.Metrics
 	ctx     context.Context // Done when the role ends.
 	cancel  context.CancelFunc
+	seed    []byte        // The state to take over, if any.
 	claims  chan struct{} // A slot for each claim in flight.
 
 	mu      sync.Mutex
@@ -112,7 +113,10 @@
 	if err != nil {
 		return err
 	}
-	qcfg := quorum.Config{Self: r.cfg.ID, First: r.cfg.First, Peers: r.cfg.Join, MaxCommandBytes: maxCommandBytes}
+	if r.seed, err = readSeed(r.cfg.Seed); err != nil {
+		return err
+	}
+	qcfg := quorum.Config{Self: r.cfg.ID, First: r.cfg.First, Peers: r.cfg.Join, MaxCommandBytes: maxCommandBytes + len(r.seed)}
 	r.host, err = quorum.Open(qcfg, disk, r.machine, r, r.clock, rand.New(rand.NewSource(randomSeed())), r.log)
 	if err != nil {
 		return err
@@ -172,7 +176,7 @@
 	r.add(&g, r.confirmLoop)
 	r.add(&g, r.leaderLoop)
 	r.add(&g, r.dialLoop)
-	r.add(&g, r.rootTokenLoop)
+	r.add(&g, r.firstLoop)
 	r.addServers(&g)
 	return trace.Wrap(g.Run(), "Role.Run")
 }
--- a/ctrl/role_test.go
+++ b/ctrl/role_test.go
@@ -8,6 +8,8 @@
 	"math/rand"
 	"net/http"
 	"net/url"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -286,6 +288,36 @@
 			Consistently(all, 5*time.Second).Should(Equal(5))
 		})
 
+		It("goes on from the state of the last instance after the others are lost for good", func() {
+			f := newFleet("c1", "c2", "c3")
+			_, err := f.client().Change(ctx, write("before", "/fleet/limits", `{"max_waiting":5}`))
+			Expect(err).NotTo(HaveOccurred())
+			survivor := f.instances[0]
+			alone := admin.NewClient([]string{survivor.url()}, f.token)
+			Expect(alone.Get(ctx, admin.PathSettings, nil, nil)).To(Succeed())
+			f.instances[1].kill()
+			f.instances[2].kill()
+			var state admin.State
+			Expect(alone.Get(ctx, admin.PathState, nil, &state)).To(Succeed())
+			survivor.stop()
+			seed := filepath.Join(f.folder, "seed")
+			Expect(os.WriteFile(seed, state.State, 0o600)).To(Succeed())
+			fresh := newInstance("c1", []cleat.InstanceID{"c1"}, GinkgoT().TempDir(), f.controlFile())
+			fresh.cfg.Seed = seed
+			fresh.start()
+			f.instances = []*instance{fresh}
+			defer f.stop()
+			var r cleat.ChangeResult
+			Eventually(func() error {
+				r, err = f.client().Change(ctx, write("before", "/fleet/limits", `{"max_waiting":5}`))
+				return err
+			}, patience).Should(Succeed())
+			Expect(r.Revision).To(Equal(cleat.Revision(1)))
+			var list admin.Settings
+			Expect(f.client().Get(ctx, admin.PathSettings, nil, &list)).To(Succeed())
+			Expect(list.Revision).To(Equal(cleat.Revision(1 + config.TakeOverGap)))
+		})
+
 		It("replaces an instance that lost its disk", func() {
 			f := newFleet("c1", "c2", "c3")
 			defer f.stop()
--- a/ctrl/token.go
+++ b/ctrl/token.go
@@ -15,16 +15,17 @@
 )
 
 const (
-	secretBytes    = 32
-	rootTokenID    = "root"
-	rootTokenRetry = time.Second
+	secretBytes = 32
+	rootTokenID = "root"
+	firstRetry  = time.Second
 )
 
-// rootTokenLoop makes the first token of a new fleet and leaves its secret in
-// the data folder of the one instance whose command came first.
-func (r *Role) rootTokenLoop(ctx context.Context) error {
-	for !r.makeRootToken(ctx) {
-		if !sleep(ctx, rootTokenRetry) {
+// firstLoop gives a new log its first contents: the state of a lost log, if
+// one is to be taken over, and else the fleet's first token, whose secret it
+// leaves in the data folder of the one instance whose command came first.
+func (r *Role) firstLoop(ctx context.Context) error {
+	for !r.takeOver(ctx) || !r.makeRootToken(ctx) {
+		if !sleep(ctx, firstRetry) {
 			return nil
 		}
 	}
