--- /dev/null
+++ b/entry/refusal.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Headers of the entry's own.
+const (
+	HeaderRan      = "Marigoldcleat-Ran"
+	HeaderReason   = "Marigoldcleat-Reason"
+	HeaderRequest  = "Marigoldcleat-Request"
+	HeaderReplayed = "Marigoldcleat-Replayed" // Set to "yes" on an answer recorded earlier.
+)
+
+type refusalForm struct {
+	status  int
+	message string
+}
+
+var refusalForms = map[cleat.Reason]refusalForm{
+	cleat.ReasonQueueFull:     {http.StatusTooManyRequests, "too many requests of this workspace are waiting"},
+	cleat.ReasonFleetFull:     {http.StatusServiceUnavailable, "too many requests are waiting"},
+	cleat.ReasonDeadline:      {http.StatusGatewayTimeout, "the deadline passed"},
+	cleat.ReasonHopeless:      {http.StatusGatewayTimeout, "the deadline can't be met at the present pace"},
+	cleat.ReasonNoUpstream:    {http.StatusServiceUnavailable, "no upstream serves the model or pool"},
+	cleat.ReasonNoQuorum:      {http.StatusServiceUnavailable, "the idempotency key could not be claimed durably"},
+	cleat.ReasonInDoubt:       {http.StatusConflict, "an earlier request with this idempotency key may have run; its outcome is not known"},
+	cleat.ReasonConflict:      {http.StatusConflict, "an earlier request with this idempotency key is still running"},
+	cleat.ReasonKeyMismatch:   {http.StatusUnprocessableEntity, "the idempotency key was used before for another request"},
+	cleat.ReasonNotKept:       {http.StatusConflict, "an earlier request with this idempotency key ran; its answer was too large to be kept"},
+	cleat.ReasonUpstream:      {http.StatusBadGateway, "the upstream failed"},
+	cleat.ReasonAgentLost:     {http.StatusBadGateway, "the agent beside the upstream was lost"},
+	cleat.ReasonBufferOverrun: {http.StatusBadGateway, "the answer outran its buffer"},
+	cleat.ReasonRetriesSpent:  {http.StatusServiceUnavailable, "all retries failed or the retry budget is used up"},
+	cleat.ReasonShutdown:      {http.StatusServiceUnavailable, "this entry is shutting down"},
+	cleat.ReasonUnauthorised:  {http.StatusUnauthorized, "the workspace key is missing or unknown"},
+	cleat.ReasonNoRule:        {http.StatusNotFound, "no rule matches the request"},
+	cleat.ReasonMalformed:     {http.StatusBadRequest, "the request can't be understood"},
+	cleat.ReasonTooLarge:      {http.StatusRequestEntityTooLarge, "the request is too large"},
+	cleat.ReasonCallerSlow:    {http.StatusRequestTimeout, "the request's body did not arrive in time"},
+	cleat.ReasonNotReady:      {http.StatusServiceUnavailable, "this entry has no confirmed settings yet"},
+	cleat.ReasonStaleGrant:    {http.StatusServiceUnavailable, "the grant was void"},
+}
+
+func formOf(reason cleat.Reason) refusalForm {
+	form, ok := refusalForms[reason]
+	if !ok {
+		return refusalForm{http.StatusBadGateway, "the request failed"}
+	}
+	return form
+}
+
+// RefusalBody is the JSON body of a refusal.
+type RefusalBody struct {
+	Error RefusalDetail `json:"error"`
+}
+
+// RefusalDetail says why a request was refused and whether an upstream ran it.
+type RefusalDetail struct {
+	Code    cleat.Reason    `json:"code"`
+	Message string          `json:"message"`
+	Ran     cleat.Ran       `json:"ran"`
+	Request cleat.RequestID `json:"request"`
+}
+
+func newRefusalBody(r cleat.Refusal, detail string) RefusalBody {
+	message := formOf(r.Reason).message
+	if detail != "" {
+		message += ": " + detail
+	}
+	return RefusalBody{Error: RefusalDetail{Code: r.Reason, Message: message, Ran: r.Ran, Request: r.Request}}
+}
+
+// writeRefusal answers a request of which nothing was answered yet.
+func writeRefusal(w http.ResponseWriter, r cleat.Refusal, detail string) error {
+	body, err := json.Marshal(newRefusalBody(r, detail))
+	if err != nil {
+		return err
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderRan, string(r.Ran))
+	h.Set(HeaderReason, string(r.Reason))
+	h.Set(HeaderRequest, string(r.Request))
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", retryAfter(r.RetryAfter))
+	}
+	if r.Reason == cleat.ReasonUnauthorised {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(formOf(r.Reason).status)
+	_, err = w.Write(body)
+	return err
+}
+
+// retryAfter rounds up to whole seconds, as the header has them.
+func retryAfter(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// errorEvent is the last event of a stream that can't be completed.
+func errorEvent(r cleat.Refusal) ([]byte, error) {
+	body, err := json.Marshal(newRefusalBody(r, ""))
+	if err != nil {
+		return nil, err
+	}
+	event := append([]byte("event: error\ndata: "), body...)
+	return append(event, "\n\n"...), nil
+}
--- /dev/null
+++ b/entry/rig_test.go
@@ -0,0 +1,331 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/entry"
+	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/wire"
+)
+
+const (
+	key        = "secret-key"
+	patience   = 20 * time.Second
+	chatBody   = `{"model":"draft","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+	agentLife  = cleat.Incarnation(7)
+	entryLife  = cleat.Incarnation(3)
+	agentName  = cleat.InstanceID("agent-1")
+	maxWaiting = 2
+)
+
+// rig is an entry with callers on loopback and one scripted agent.
+type rig struct {
+	entry  *entry.Entry
+	agent  *agent
+	claims *claims
+	client *http.Client
+	done   chan error
+}
+
+func settings(limits cleat.Limits) *cleat.Fleet {
+	limits.Defaults()
+	ws := cleat.Workspace{ID: "team/a", Share: 1, KeyHashes: []string{cleat.HashKey(key)}, MaxWaiting: maxWaiting}
+	rules := []cleat.Rule{
+		{Name: "late", Order: 1, PathPrefix: "/late", Kind: cleat.KindPlain, Model: "desk", Repeatable: true, Deadline: 0.05},
+		{Name: "absent", Order: 1, PathPrefix: "/absent", Kind: cleat.KindPlain, Model: "nobody", Repeatable: true},
+		{Name: "pay", Order: 1, PathPrefix: "/pay", Kind: cleat.KindPlain, Model: "desk"},
+		{Name: "page", Order: 1, PathPrefix: "/page", Kind: cleat.KindPlain, Model: "desk", Repeatable: true},
+		{Name: "draft", Order: 1, PathPrefix: cleat.ChatPath, RequestModel: "draft", Repeatable: true},
+	}
+	for i := range rules {
+		rules[i].Defaults()
+	}
+	return cleat.NewFleet(1, cleat.NewWorkspaces([]cleat.Workspace{ws}), cleat.NewRules(rules), nil, limits)
+}
+
+func newRig(change ...func(cfg *entry.Config, limits *cleat.Limits)) *rig {
+	var cfg entry.Config
+	var limits cleat.Limits
+	cfg.Queue.ResumeGrace = 50 * time.Millisecond
+	for _, f := range change {
+		f(&cfg, &limits)
+	}
+	return startRig(cfg, cleat.NewStaticFleet(settings(limits)))
+}
+
+func startRig(cfg entry.Config, fleet cleat.FleetSource) *rig {
+	logger := log.New(GinkgoWriter)
+	logger.SetLevel(log.DebugLevel)
+	r := &rig{claims: newClaims(), done: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
+	var err error
+	r.entry, err = entry.New(cfg, "127.0.0.1:0", entry.Parts{
+		Self:    cleat.Peer{Instance: "entry-1", Incarnation: entryLife, Role: cleat.RoleEntry},
+		Fleet:   fleet,
+		Claims:  r.claims,
+		Clock:   cleat.SystemClock{},
+		Rand:    rand.New(rand.NewSource(1)),
+		Log:     logger,
+		Metrics: telem.NewMetrics(cleat.RoleEntry, logger),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	go func() { r.done <- r.entry.Run() }()
+	DeferCleanup(func() {
+		r.entry.Close()
+		r.client.CloseIdleConnections()
+	})
+	return r
+}
+
+// link connects a scripted agent that answers each dispatch by run.
+func (r *rig) link(run func(a *agent, d *cleat.Dispatch)) *agent {
+	r.agent = &agent{run: run, life: agentLife}
+	r.agent.connect(r.entry)
+	Eventually(func() bool { ok, _ := r.entry.Ready(); return ok }, patience).Should(BeTrue())
+	return r.agent
+}
+
+func (r *rig) url(path string) string { return "http://" + r.entry.Addr() + path }
+
+func (r *rig) request(method, path, body string, header ...string) *http.Request {
+	req, err := http.NewRequest(method, r.url(path), strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req
+}
+
+// do sends a request and reads the whole answer.
+func (r *rig) do(req *http.Request) (*http.Response, string) {
+	res, err := r.client.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return res, string(b)
+}
+
+// doAsync sends a request and returns its whole answer later.
+func (r *rig) doAsync(req *http.Request) <-chan result {
+	c := make(chan result, 1)
+	go func() {
+		res, err := r.client.Do(req)
+		if err != nil {
+			c <- result{err: err}
+			return
+		}
+		defer res.Body.Close()
+		b, err := io.ReadAll(res.Body)
+		c <- result{status: res.StatusCode, header: res.Header, body: string(b), err: err}
+	}()
+	return c
+}
+
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r result) refusal() entry.RefusalDetail {
+	var b entry.RefusalBody
+	Expect(json.Unmarshal([]byte(r.body), &b)).To(Succeed(), r.body)
+	return b.Error
+}
+
+func (r *rig) running() (n uint32) {
+	for _, s := range r.entry.Status() {
+		n += s.Running
+	}
+	return n
+}
+
+func (r *rig) waiting() (n uint32) {
+	for _, s := range r.entry.Status() {
+		n += s.Waiting
+	}
+	return n
+}
+
+// agent grants whatever is offered and answers dispatches by a script.
+type agent struct {
+	run  func(a *agent, d *cleat.Dispatch)
+	life cleat.Incarnation
+
+	mu       sync.Mutex
+	link     cleat.Link
+	grants   uint64
+	states   uint64
+	idle     bool // Grants nothing.
+	received []cleat.Message
+}
+
+func (a *agent) connect(e cleat.LinkHandler) {
+	self := cleat.Peer{Instance: agentName, Incarnation: a.life, Role: cleat.RoleAgent}
+	peer := cleat.Peer{Instance: "entry-1", Incarnation: entryLife, Role: cleat.RoleEntry}
+	wire.Pipe(self, peer, a, e)
+}
+
+func (a *agent) LinkUp(l cleat.Link) {
+	a.mu.Lock()
+	a.link = l
+	a.states++
+	seq := a.states
+	a.mu.Unlock()
+	a.send(&cleat.AgentState{Incarnation: a.life, Seq: seq, Upstreams: []cleat.UpstreamState{
+		{Upstream: "u1", Kind: cleat.KindModel, Models: []cleat.ModelID{"draft"}, Limit: 8},
+		{Upstream: "u2", Kind: cleat.KindPlain, Models: []cleat.ModelID{"desk"}, Limit: 8},
+	}})
+}
+
+func (a *agent) LinkDown(cleat.Link, error) {}
+
+func (a *agent) LinkMessage(_ cleat.Link, m cleat.Message) {
+	a.mu.Lock()
+	a.received = append(a.received, m)
+	idle := a.idle
+	a.mu.Unlock()
+	switch m := m.(type) {
+	case *cleat.Offers:
+		if !idle {
+			a.grant(m)
+		}
+	case *cleat.Dispatch:
+		if a.run != nil && !m.BodyMore {
+			go a.run(a, m)
+		}
+	}
+}
+
+func (a *agent) grant(m *cleat.Offers) {
+	for _, o := range m.Offers {
+		upstream := cleat.UpstreamID("u1")
+		if o.Stream.Kind == cleat.KindPlain {
+			upstream = "u2"
+		}
+		for range o.Waiting {
+			a.mu.Lock()
+			a.grants++
+			g := cleat.Grant{ID: a.grants, Stream: o.Stream, Upstream: upstream, Lifetime: time.Minute}
+			a.mu.Unlock()
+			a.send(&cleat.Grants{Incarnation: a.life, Grants: []cleat.Grant{g}})
+		}
+	}
+}
+
+func (a *agent) send(m cleat.Message) {
+	a.mu.Lock()
+	l := a.link
+	a.mu.Unlock()
+	// A failed send is part of some scripts.
+	_ = l.Send(m)
+}
+
+func (a *agent) cut() {
+	a.mu.Lock()
+	l := a.link
+	a.mu.Unlock()
+	Expect(l.Close()).To(Succeed())
+}
+
+// messages returns what arrived of one kind.
+func messages[T cleat.Message](a *agent) []T {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var list []T
+	for _, m := range a.received {
+		if t, ok := m.(T); ok {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+func head(a cleat.Attempt, contentType string) *cleat.Part {
+	return &cleat.Part{Attempt: a, Status: http.StatusOK, Header: []cleat.HeaderField{{Name: "Content-Type", Value: contentType}}}
+}
+
+func part(a cleat.Attempt, offset int, data string) *cleat.Part {
+	return &cleat.Part{Attempt: a, Offset: uint64(offset), Data: []byte(data)}
+}
+
+func end(a cleat.Attempt, offset int, kind cleat.OutcomeKind) *cleat.Part {
+	return &cleat.Part{Attempt: a, Offset: uint64(offset), End: true, Outcome: cleat.Outcome{Kind: kind}}
+}
+
+// answers returns a script that answers every dispatch whole.
+func answers(body string) func(a *agent, d *cleat.Dispatch) {
+	return func(a *agent, d *cleat.Dispatch) {
+		p := head(d.Attempt, "text/plain")
+		p.Data = []byte(body)
+		a.send(p)
+		a.send(end(d.Attempt, len(body), cleat.OutcomeDone))
+	}
+}
+
+// claims stands in for the control quorum.
+type claims struct {
+	mu       sync.Mutex
+	held     map[string]cleat.Claim
+	result   map[string]cleat.ClaimResult // Scripted, by key.
+	outcomes []cleat.ClaimOutcome
+}
+
+func newClaims() *claims {
+	return &claims{held: make(map[string]cleat.Claim), result: make(map[string]cleat.ClaimResult)}
+}
+
+func (c *claims) Claim(m cleat.Claim, _ time.Time) cleat.ClaimResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if res, ok := c.result[m.Key]; ok {
+		return res
+	}
+	first, ok := c.held[m.Key]
+	if !ok {
+		c.held[m.Key] = m
+		return cleat.ClaimResult{State: cleat.ClaimGranted}
+	}
+	for _, o := range c.outcomes {
+		if o.Key == m.Key && o.Outcome == cleat.OutcomeDone {
+			return cleat.ClaimResult{State: cleat.ClaimDone, Answer: o.Answer, Mismatch: !bytes.Equal(first.Digest, m.Digest)}
+		}
+	}
+	return cleat.ClaimResult{State: cleat.ClaimRunning, Mismatch: !bytes.Equal(first.Digest, m.Digest)}
+}
+
+func (c *claims) Record(o cleat.ClaimOutcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+}
+
+func (c *claims) recorded() []cleat.OutcomeKind {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var kinds []cleat.OutcomeKind
+	for _, o := range c.outcomes {
+		kinds = append(kinds, o.Outcome)
+	}
+	return kinds
+}
+
+func withCancel(req *http.Request) (*http.Request, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return req.WithContext(ctx), cancel
+}
