--- /dev/null
+++ b/ledger/book.go
@@ -0,0 +1,221 @@
+package ledger
+
+import (
+	"time"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
+)
+
+// ReportInterval is how often an agent reports its totals.
+const ReportInterval = time.Second
+
+// Account is what one agent knows of a workspace's service, all in cost units for one share.
+type Account struct {
+	workspace cleat.WorkspaceID
+	service   float64 // Used at this agent's present incarnation.
+	flying    float64 // Estimated rest of what runs here.
+	others    float64 // Used at all others, as last heard.
+	elsewhere float64 // Estimated rest of what runs at all others, as last heard.
+	lift      float64
+	changed   bool
+}
+
+// Workspace returns whose account it is.
+func (a *Account) Workspace() cleat.WorkspaceID { return a.workspace }
+
+// Virtual returns the service received over the fleet and lifts, with the
+// estimated rest of running work.
+func (a *Account) Virtual() float64 {
+	return a.Received() + a.flying + a.elsewhere
+}
+
+// Received returns the service received over the fleet and lifts.
+func (a *Account) Received() float64 {
+	return a.service + a.others + a.lift
+}
+
+// Own returns the service used at this agent.
+func (a *Account) Own() float64 { return a.service }
+
+// Flying returns the estimated rest of what runs here.
+func (a *Account) Flying() float64 { return a.flying }
+
+// Lift returns how far the workspace was raised on its returns from idle.
+func (a *Account) Lift() float64 { return a.lift }
+
+// Book is an agent's part of the ledger; it is not safe for concurrent use.
+type Book struct {
+	self     cleat.Peer
+	accounts map[cleat.WorkspaceID]*Account
+	order    []*Account // By creation.
+	changed  []*Account
+	touched  []*Account // Scratch for Sums.
+	seq      uint64
+	whole    bool
+	relay    cleat.InstanceID
+	life     cleat.Incarnation // The relay's.
+	heard    uint64            // Last sums of that relay.
+	ready    bool
+	heardAt  time.Time
+}
+
+// NewBook returns an empty book of an agent.
+func NewBook(self cleat.Peer) *Book {
+	return &Book{self: self, accounts: map[cleat.WorkspaceID]*Account{}}
+}
+
+// Account returns the workspace's account, made when absent.
+func (b *Book) Account(w cleat.WorkspaceID) *Account {
+	if a, ok := b.accounts[w]; ok {
+		return a
+	}
+	a := &Account{workspace: w}
+	b.accounts[w] = a
+	b.order = append(b.order, a)
+	return a
+}
+
+// Accounts returns all accounts in the order they were made; the slice is not to be changed.
+func (b *Book) Accounts() []*Account { return b.order }
+
+// Charge adds service to an account; it must not be negative.
+func (b *Book) Charge(a *Account, service float64) {
+	if !(service >= 0) {
+		assert.Fail("totals-never-fall", "charge of %v to %s", service, a.workspace)
+		return
+	}
+	a.service += service
+	b.mark(a)
+}
+
+// Expect changes the estimated rest of what runs here by service.
+func (b *Book) Expect(a *Account, service float64) {
+	a.flying += service
+	if a.flying < -slack(a.service) {
+		assert.Fail("service-accounted", "%s has %v in flight", a.workspace, a.flying)
+	}
+	a.flying = max(0, a.flying)
+	b.mark(a)
+}
+
+// Raise lifts the account so that its received service is at least v.
+func (b *Book) Raise(a *Account, v float64) {
+	short := v - a.Received()
+	if short <= 0 {
+		return
+	}
+	a.lift += short
+	b.mark(a)
+}
+
+// Ready reports whether the fleet's totals were heard in full, so that a
+// workspace with little service here is known to have received little.
+func (b *Book) Ready() bool { return b.ready }
+
+// Report returns what changed since the last report, or nil.
+func (b *Book) Report() *cleat.LedgerReport {
+	if len(b.changed) == 0 && !b.whole {
+		return nil
+	}
+	b.seq++
+	m := &cleat.LedgerReport{Agent: b.self.Instance, Incarnation: b.self.Incarnation, Seq: b.seq, Whole: b.whole}
+	list := b.changed
+	if b.whole {
+		list = b.order
+	}
+	m.Totals = make([]cleat.WorkspaceTotal, 0, len(list))
+	for _, a := range list {
+		m.Totals = append(m.Totals, a.total(b.whole))
+	}
+	for _, a := range b.changed {
+		a.changed = false
+	}
+	b.changed = b.changed[:0]
+	b.whole = false
+	return m
+}
+
+// Sums takes in the fleet's sums and returns the accounts that they moved; the
+// slice is valid until the next call.
+func (b *Book) Sums(now time.Time, m *cleat.LedgerSums) []*Account {
+	b.touched = b.touched[:0]
+	if !b.fresh(m) {
+		return nil
+	}
+	b.heardAt = now
+	for i := range m.Totals {
+		a := b.Account(m.Totals[i].Workspace)
+		if a.merge(&m.Totals[i]) {
+			b.touched = append(b.touched, a)
+		}
+	}
+	return b.touched
+}
+
+// fresh tells whether the sums are newer than those heard of their relay, and
+// decides whether the relay needs the whole of the totals.
+func (b *Book) fresh(m *cleat.LedgerSums) bool {
+	switch {
+	case m.Relay != b.relay || m.Incarnation > b.life:
+		b.relay, b.life = m.Relay, m.Incarnation
+		b.whole = true
+	case m.Incarnation < b.life || m.Seq <= b.heard:
+		return false
+	case m.Seq > b.heard+1 && !m.Whole:
+		b.whole = true
+	}
+	if m.Seen == 0 {
+		b.whole = true
+	}
+	b.heard = m.Seq
+	b.ready = b.ready || m.Ready
+	return true
+}
+
+// Expire drops the levels heard of others when no relay was heard for
+// FlightBound, and returns the accounts that it moved.
+func (b *Book) Expire(now time.Time) []*Account {
+	b.touched = b.touched[:0]
+	if b.heardAt.IsZero() || now.Sub(b.heardAt) < FlightBound {
+		return nil
+	}
+	b.heardAt = time.Time{}
+	for _, a := range b.order {
+		if a.elsewhere > 0 {
+			a.elsewhere = 0
+			b.touched = append(b.touched, a)
+		}
+	}
+	return b.touched
+}
+
+func (b *Book) mark(a *Account) {
+	if !a.changed {
+		a.changed = true
+		b.changed = append(b.changed, a)
+	}
+}
+
+func (a *Account) total(whole bool) cleat.WorkspaceTotal {
+	t := cleat.WorkspaceTotal{Workspace: a.workspace, Service: a.service, Flying: a.flying, Lift: a.lift}
+	if whole {
+		t.Known = a.others
+	}
+	return t
+}
+
+// merge takes each counter by maximum: what relays know is a part of the truth,
+// so the largest is the nearest to it. The level is replaced.
+func (a *Account) merge(t *cleat.WorkspaceTotal) bool {
+	before := a.Virtual()
+	a.others = max(a.others, t.Service)
+	a.elsewhere = t.Flying
+	a.lift = max(a.lift, t.Lift)
+	return a.Virtual() != before
+}
+
+// slack allows for the rounding of long sums.
+func slack(total float64) float64 {
+	return 1e-6 + total*1e-9
+}
