--- a/entry/link.go
+++ b/entry/link.go
@@ -138,12 +138,14 @@
 	c.signal()
 }
 
-// late acknowledges the end of an answer that nobody waits for any more, so
-// that the agent drops it.
+// late lets the agent drop an answer that nobody waits for any more; a request
+// that may not be repeated runs on there.
 func (e *Entry) late(l cleat.Link, p *cleat.Part) {
 	if p.End {
 		e.sendOn(l, &cleat.PartAck{Attempt: p.Attempt, Offset: p.Offset + uint64(len(p.Data)), Done: true})
+		return
 	}
+	e.sendOn(l, &cleat.Cancel{Attempt: p.Attempt})
 }
 
 // finished tells the table how an attempt ended.
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -100,6 +100,8 @@
 		Eventually(res, patience).Should(Receive(&got))
 		Expect(got.body).To(Equal("abcdefghijkl"))
 		Consistently(func() int { return len(messages[*cleat.Resume](a)) }, "50ms").Should(Equal(1))
+		Expect(messages[*cleat.Cancel](a)).To(HaveExactElements(
+			HaveField("Attempt.Request", cleat.RequestID("nobody"))))
 	})
 
 	It("resumes an answer over a new link, whole and without doubled parts", func() {
