--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -174,49 +174,49 @@
 		Expect(messages[*cleat.Dispatch](a)).To(HaveLen(2))
 	})
 
-	It("holds little of an answer that its caller doesn't take", func() {
-		const pieceBytes, pieces = 16 << 10, 2048
-		r := newRig(func(cfg *entry.Config, _ *cleat.Limits) { cfg.MaxPendingBytes = 128 << 10 })
-		data := strings.Repeat("x", pieceBytes)
+	It("holds back the acknowledgements of an answer that its caller doesn't take", func() {
+		const total, window = 16 << 20, 256 << 10
+		r := newRig()
+		sent := make(chan uint64, 1)
 		a := r.link(func(a *agent, d *cleat.Dispatch) {
-			a.send(head(d.Attempt, "text/plain"))
-			for i := range pieces {
-				a.send(part(d.Attempt, i*pieceBytes, data))
-			}
-			a.send(end(d.Attempt, pieces*pieceBytes, cleat.OutcomeDone))
+			sent <- a.stream(d.Attempt, strings.Repeat("x", 32<<10), total, window)
 		})
 		res, err := r.client.Do(r.request("GET", "/page", ""))
 		Expect(err).NotTo(HaveOccurred())
 		defer res.Body.Close()
-		Consistently(func() bool {
+		Consistently(sent, "200ms").ShouldNot(Receive())
+		n, err := io.Copy(io.Discard, res.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(int64(total)))
+		Eventually(sent, patience).Should(Receive())
+		Eventually(func() bool {
 			acks := messages[*cleat.PartAck](a)
-			return len(acks) == 0 || acks[len(acks)-1].Offset < pieces*pieceBytes
-		}, "100ms").Should(BeTrue(), "a stuck caller must hold back the acknowledgements")
-		resends := make(chan struct{})
-		go func() {
-			defer close(resends)
-			served := 0
-			for served < pieces*pieceBytes {
-				list := messages[*cleat.Resume](a)
-				if len(list) == 0 || int(list[len(list)-1].Offset) <= served {
-					if acks := messages[*cleat.PartAck](a); len(acks) > 0 && acks[len(acks)-1].Done {
-						return
-					}
-					time.Sleep(time.Millisecond)
-					continue
-				}
-				m := list[len(list)-1]
-				served = int(m.Offset)
-				for at := served; at < pieces*pieceBytes; at += pieceBytes {
-					a.send(part(m.Attempt, at, data[:min(pieceBytes, pieces*pieceBytes-at)]))
+			return acks[len(acks)-1].Done
+		}, patience).Should(BeTrue())
+	})
+
+	It("drops what an agent sends beyond its window, and asks for it again", func() {
+		const pieceBytes, pieces = 4 << 10, 64
+		r := newRig(func(cfg *entry.Config, _ *cleat.Limits) {
+			cfg.MaxPendingBytes = 2 * pieceBytes
+			cfg.AckBytes = pieceBytes
+		})
+		data := strings.Repeat("0123456789abcdef", pieceBytes/16)
+		resumed := make(chan uint64, 2*pieces)
+		a := r.link(func(a *agent, d *cleat.Dispatch) {
+			a.send(head(d.Attempt, "text/plain"))
+			resumed <- 0
+			for offset := range resumed {
+				for at := int(offset); at < pieces*pieceBytes; at += pieceBytes {
+					a.send(part(d.Attempt, at, data))
 				}
-				a.send(end(m.Attempt, pieces*pieceBytes, cleat.OutcomeDone))
+				a.send(end(d.Attempt, pieces*pieceBytes, cleat.OutcomeDone))
 			}
-		}()
-		n, err := io.Copy(io.Discard, res.Body)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(n).To(Equal(int64(pieces * pieceBytes)))
-		Eventually(resends, patience).Should(BeClosed())
+		})
+		a.resumed = resumed
+		_, body := r.do(r.request("GET", "/page", ""))
+		Expect(body).To(Equal(strings.Repeat(data, pieces)))
+		close(resumed)
 	})
 })
 
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -209,7 +210,7 @@
 
 var _ = Describe("a caller on a bare connection", func() {
 	dial := func(r *rig, text string) net.Conn {
-		conn, err := net.Dial("tcp", r.entry.Addr())
+		conn, err := dialSmall(context.Background(), "tcp", r.entry.Addr())
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(conn.Close)
 		Expect(conn.SetDeadline(time.Now().Add(patience))).To(Succeed())
@@ -273,19 +274,8 @@
 
 	It("that takes no answer is let go, and its request cancelled", func() {
 		r := newRig(func(cfg *entry.Config, _ *cleat.Limits) { cfg.WriteTimeout = 50 * time.Millisecond })
-		data := strings.Repeat("x", 32<<10)
 		a := r.link(func(a *agent, d *cleat.Dispatch) {
-			a.send(head(d.Attempt, "text/plain"))
-			for at := 0; len(messages[*cleat.Cancel](a)) == 0 && at < 1<<30; at += len(data) {
-				acked := 0
-				for acked < at-(256<<10) && len(messages[*cleat.Cancel](a)) == 0 {
-					if acks := messages[*cleat.PartAck](a); len(acks) > 0 {
-						acked = int(acks[len(acks)-1].Offset)
-					}
-					time.Sleep(time.Millisecond)
-				}
-				a.send(part(d.Attempt, at, data))
-			}
+			a.stream(d.Attempt, strings.Repeat("x", 32<<10), 1<<30, 256<<10)
 		})
 		dial(r, fmt.Sprintf("GET /page HTTP/1.1\r\n%s\r\n", auth))
 		Eventually(func() []*cleat.Cancel { return messages[*cleat.Cancel](a) }, patience).Should(HaveLen(1))
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"math/rand"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -29,6 +30,8 @@
 	entryLife  = cleat.Incarnation(3)
 	agentName  = cleat.InstanceID("agent-1")
 	maxWaiting = 2
+
+	smallBuffer = 16 << 10
 )
 
 // rig is an entry with callers on loopback and one scripted agent.
@@ -173,6 +176,29 @@
 	states   uint64
 	idle     bool // Grants nothing.
 	received []cleat.Message
+	acked    uint64
+	resumed  chan uint64 // Offsets asked for, when set.
+}
+
+// stream sends an answer of n bytes as an agent does that keeps window bytes,
+// until it is done or cancelled; it returns how much was sent.
+func (a *agent) stream(at cleat.Attempt, piece string, n, window uint64) (sent uint64) {
+	a.send(head(at, "text/plain"))
+	for sent < n && len(messages[*cleat.Cancel](a)) == 0 {
+		a.mu.Lock()
+		room := a.acked+window > sent
+		a.mu.Unlock()
+		if !room {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		a.send(part(at, int(sent), piece))
+		sent += uint64(len(piece))
+	}
+	if sent >= n {
+		a.send(end(at, int(sent), cleat.OutcomeDone))
+	}
+	return sent
 }
 
 func (a *agent) connect(e cleat.LinkHandler) {
@@ -199,12 +225,19 @@
 	a.mu.Lock()
 	a.received = append(a.received, m)
 	idle := a.idle
+	if ack, ok := m.(*cleat.PartAck); ok {
+		a.acked = max(a.acked, ack.Offset)
+	}
 	a.mu.Unlock()
 	switch m := m.(type) {
 	case *cleat.Offers:
 		if !idle {
 			a.grant(m)
 		}
+	case *cleat.Resume:
+		if a.resumed != nil {
+			a.resumed <- m.Offset
+		}
 	case *cleat.Dispatch:
 		if a.run != nil && !m.BodyMore {
 			go a.run(a, m)
@@ -325,6 +358,16 @@
 	return kinds
 }
 
+// dialSmall connects with a small receive buffer, so that a caller which reads
+// nothing is felt soon.
+func dialSmall(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetReadBuffer(smallBuffer)
+}
+
 func withCancel(req *http.Request) (*http.Request, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	return req.WithContext(ctx), cancel
