--- a/agent/agent.go
+++ b/agent/agent.go
@@ -51,7 +51,6 @@
 	engines  map[cleat.UpstreamID]*upstream
 	runs     map[cleat.Attempt]*run
 	draining bool
-	aborted  bool
 }
 
 // upstream is the client of an announced upstream.
@@ -156,9 +155,6 @@
 
 // Close ends Run at once and cuts running requests.
 func (a *Agent) Close() {
-	a.mu.Lock()
-	a.aborted = true
-	a.mu.Unlock()
 	a.finish()
 }
 
@@ -196,16 +192,18 @@
 	return nil
 }
 
+// shutdown breaks the links before it cuts what still runs, so that entries
+// take the agent for lost and not the requests for canceled.
 func (a *Agent) shutdown() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := a.server.Shutdown(ctx)
+	webErr := a.web.Shutdown(ctx)
 	a.mu.Lock()
 	for _, r := range a.runs {
 		r.cancel(errCanceled)
 	}
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	err := a.server.Shutdown(ctx)
-	webErr := a.web.Shutdown(ctx)
 	a.workers.Wait()
 	a.closeEngines()
 	return trace.NewAggregate(err, webErr, a.metrics.Close())
--- a/wire/counters.go
+++ b/wire/counters.go
@@ -6,7 +6,7 @@
 	"marigoldcleat.example/cleat"
 )
 
-const maxKinds = int(cleat.KindPing) + 1
+const maxKinds = 256
 
 // Counters counts traffic and refusals over all links of a process.
 type Counters struct {
