--- a/cmd/gauge/bench/net.go
+++ b/cmd/gauge/bench/net.go
@@ -41,8 +41,9 @@
 
 // wireEnd is a link's queue in one direction.
 type wireEnd struct {
-	last time.Time // When the latest message arrives; links keep order.
-	held []cleat.Message
+	last  time.Time // When the latest message arrives; links keep order.
+	held  []cleat.Message
+	sizer *wire.Sizer
 }
 
 // cable is a link between two stations that may be cut.
@@ -59,10 +60,11 @@
 	stations map[cleat.InstanceID]*station
 	cables   map[[2]cleat.InstanceID]*cable
 	order    []*cable
+	spent    *spent
 }
 
-func newNetwork(s *sim) *network {
-	n := &network{s: s, stations: make(map[cleat.InstanceID]*station), cables: make(map[[2]cleat.InstanceID]*cable)}
+func newNetwork(s *sim, sp *spent) *network {
+	n := &network{s: s, spent: sp, stations: make(map[cleat.InstanceID]*station), cables: make(map[[2]cleat.InstanceID]*cable)}
 	s.w.every(100*time.Millisecond, 100*time.Millisecond, n.watch)
 	return n
 }
@@ -96,7 +98,7 @@
 	}
 	c.up = true
 	c.gen++
-	c.dirs = [2]wireEnd{}
+	c.dirs = [2]wireEnd{{sizer: wire.NewSizer()}, {sizer: wire.NewSizer()}}
 	gen := c.gen
 	for i := range c.ends {
 		n.s.w.after(n.delay(c), func() {
@@ -195,7 +197,7 @@
 	if c.ends[1].peer.Instance == from {
 		dir = 1
 	}
-	n.account(c, m)
+	n.account(c, dir, m)
 	if !n.s.connected(c.ends[0].domain, c.ends[1].domain) {
 		c.dirs[dir].held = append(c.dirs[dir].held, m)
 		return true
@@ -235,15 +237,17 @@
 	}
 }
 
-func (*network) account(c *cable, m cleat.Message) {
+func (n *network) account(c *cable, dir int, m cleat.Message) {
 	if !isControl(m) {
 		return
 	}
-	n, err := wire.FrameBytes(m)
+	began := n.spent.begin()
+	bytes, err := c.dirs[dir].sizer.Bytes(m)
+	n.spent.end(c.ends[dir].peer.Role, began)
 	if err != nil {
 		return
 	}
-	size := float64(n)
+	size := float64(bytes)
 	c.ends[0].bytes[m.Kind()] += size
 	c.ends[1].bytes[m.Kind()] += size
 }
--- a/cmd/gauge/bench/result.go
+++ b/cmd/gauge/bench/result.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/cost"
 )
 
 // Spread is a distribution by its quantiles, in seconds.
@@ -77,11 +78,11 @@
 
 	var traffic func() []Traffic
 	if name == PolicyOurs {
-		p := newOurs(s)
+		p := newOurs(s, nil)
 		traffic = p.traffic
 		s.play(p)
 	} else {
-		s.play(newCentral(s, name, newEstimator()))
+		s.play(newCentral(s, name, cost.NewEstimator()))
 	}
 	r := s.result(name)
 	if traffic != nil {
--- a/queue/stream.go
+++ b/queue/stream.go
@@ -111,9 +111,9 @@
 }
 
 func (s *stream) activate(now time.Time, t *Table) {
-	s.spread, s.lacking = t.cfg.Spread, 0
+	s.spread, s.lacking = 1, 0
 	s.pace.streams = append(s.pace.streams, s)
-	s.widenAt = now.Add(t.cfg.WidenAfter)
+	s.widenAt = now.Add(t.cfg.SecondAfter)
 	if s.pace.since.IsZero() {
 		s.pace.since = now
 	}
--- a/wire/counters.go
+++ b/wire/counters.go
@@ -6,7 +6,7 @@
 	"marigoldcleat.example/cleat"
 )
 
-const maxKinds = 256
+const maxKinds = int(cleat.KindLimit)
 
 // Counters counts traffic and refusals over all links of a process.
 type Counters struct {
