--- a/node/claims.go
+++ b/node/claims.go
@@ -178,3 +178,10 @@
 	}
 	return due
 }
+
+// Pending returns how many outcomes are not yet known to be stored.
+func (c *Client) Pending() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls.records)
+}
--- a/telem/health.go
+++ b/telem/health.go
@@ -14,6 +14,9 @@
 	PathMetrics = "/metrics"
 )
 
+// Draining is why a process that shuts down is not ready.
+const Draining = "shutting down"
+
 // Health answers whether the process lives and whether it takes new work.
 type Health struct {
 	mu       sync.Mutex
@@ -39,7 +42,7 @@
 	draining := h.draining
 	h.mu.Unlock()
 	if draining {
-		return false, "shutting down"
+		return false, Draining
 	}
 	return h.ready()
 }
