gauge: show light workspaces' waits and the idle part of slot time

Cause: the wait of all workspaces mixes those that ask for more than their share with those that don't, and utilisation while work waits says nothing of how much capacity that loses when requests wait for one round trip only. Change: two columns; a flooding workspace stays out of the others' waits.

--- a/cmd/gauge/bench/arrive.go
+++ b/cmd/gauge/bench/arrive.go
@@ -17,6 +17,7 @@
 	output  uint64
 	busy    time.Duration
 	entry   int
+	heavy   bool // Its workspace asks for more than its share.
 	served  bool
 	ended   bool
 	queued  bool // It waits: the caller sent it and no engine has it.
@@ -61,7 +62,10 @@
 		if i < heavy {
 			g.rate = g.heavy(o.Load, order[:heavy])
 		}
-		all = append(all, g.draw()...)
+		for _, a := range g.draw() {
+			a.heavy = i < heavy
+			all = append(all, a)
+		}
 	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].work.Received.Before(all[j].work.Received) })
 	for i, a := range all {
@@ -136,11 +140,10 @@
 	}
 }
 
-// floodAt returns how much faster the workspace asks during a flood; the
-// flooding workspace is the last one, which is never large.
+// floodAt returns how much faster the workspace asks during a flood.
 func (g *generator) floodAt(at time.Duration) float64 {
 	for _, f := range g.o.Faults {
-		if f.Kind == FaultFlood && g.n == g.d.workspaces-1 && at >= f.From && at < f.To {
+		if f.Kind == FaultFlood && g.n == g.d.flooder() && at >= f.From && at < f.To {
 			return floodFactor
 		}
 	}
--- a/cmd/gauge/bench/deploy.go
+++ b/cmd/gauge/bench/deploy.go
@@ -118,6 +118,9 @@
 	return 1
 }
 
+// flooder returns the workspace that floods: the last one, which is never large.
+func (d *Deployment) flooder() int { return d.workspaces - 1 }
+
 func (d *Deployment) workspace(n int) cleat.WorkspaceID {
 	return cleat.WorkspaceID(fmt.Sprintf("team%d/ws%d", n%8, n))
 }
--- a/cmd/gauge/bench/meter.go
+++ b/cmd/gauge/bench/meter.go
@@ -31,6 +31,7 @@
 	waits   map[cleat.ClassName][]float64
 	firsts  map[cleat.ClassName][]float64
 	others  []float64 // Waits of the workspaces that don't flood.
+	light   []float64 // Those of workspaces that ask for less than their share.
 	longest time.Duration
 	tokens  float64
 	refused map[cleat.Reason]int
@@ -151,10 +152,14 @@
 
 func (m *meter) noteWait(a *arrival, d time.Duration) {
 	m.waits[a.work.Class] = append(m.waits[a.work.Class], d.Seconds())
-	if a.work.Workspace != m.d.workspace(m.d.workspaces-1) {
-		m.others = append(m.others, d.Seconds())
-	}
 	m.longest = max(m.longest, d)
+	if a.work.Workspace == m.d.workspace(m.d.flooder()) {
+		return
+	}
+	m.others = append(m.others, d.Seconds())
+	if !a.heavy {
+		m.light = append(m.light, d.Seconds())
+	}
 }
 
 func (m *meter) firstToken(a *arrival) {
@@ -262,6 +267,19 @@
 	return used / offered
 }
 
+// idleWaiting returns the part of all slot time that stood idle while work waited.
+func (m *meter) idleWaiting() float64 {
+	idle, all := 0.0, 0.0
+	for _, model := range sortedModels(m.pools) {
+		p := m.pools[model]
+		idle += p.offered - p.used
+		for _, e := range p.engines {
+			all += float64(e.slots) * m.w.elapsed().Seconds()
+		}
+	}
+	return idle / all
+}
+
 // gaps follows, for every pair of workspaces that are both backlogged, the
 // largest difference in service over any interval that ends now.
 type gaps struct {
--- a/cmd/gauge/bench/result.go
+++ b/cmd/gauge/bench/result.go
@@ -58,10 +58,12 @@
 	GapSeconds   float64        `json:"gap_largest_s"` // Of fair share.
 	GapAfter     float64        `json:"gap_after"`     // Largest over intervals that begin 10 s after the last fault.
 	Utilisation  float64        `json:"utilisation"`
-	Units        float64        `json:"units"` // Cost units served.
+	Idle         float64        `json:"idle_while_waiting"` // Part of all slot time.
+	Units        float64        `json:"units"`              // Cost units served.
 	Traffic      []Traffic      `json:"traffic,omitempty"`
 	Classes      []ClassResult  `json:"classes"`
 	OthersP95    float64        `json:"others_wait_p95_s"` // Workspaces other than a flooding one.
+	LightP95     float64        `json:"light_wait_p95_s"`  // Workspaces that ask for less than their share.
 	Served       int            `json:"served"`
 	Refused      []RefusalCount `json:"refused,omitempty"`
 	Retried      int            `json:"retried"`
@@ -96,7 +98,7 @@
 	m := s.m
 	r := Result{
 		Policy: name, Seed: s.o.Seed, GapLargest: m.whole.largest, GapP99: quantile(m.whole.values, 0.99), GapAfter: m.after.largest,
-		Utilisation: m.utilisation(), Units: m.tokens, OthersP95: quantile(m.others, 0.95), Served: m.served, Retried: m.retried,
+		Utilisation: m.utilisation(), Idle: m.idleWaiting(), Units: m.tokens, OthersP95: quantile(m.others, 0.95), LightP95: quantile(m.light, 0.95), Served: m.served, Retried: m.retried,
 		Lost: m.lost, StarvedS: m.longest.Seconds(), PastDeadline: m.starved, Twice: m.twice, Untrue: m.untrue,
 	}
 	r.GapSeconds = r.GapLargest / s.fairRate()
--- a/cmd/gauge/policy.go
+++ b/cmd/gauge/policy.go
@@ -167,8 +167,8 @@
 	o, _ := c.options(c.seed)
 	fmt.Printf("deployment %s, seeds %d..%d, %v, load %v, backlogged %v, faults %s\n",
 		c.deployment, c.seed, c.seed+int64(c.seeds)-1, c.duration, c.load, c.backlogged, bench.FormatFaults(o.Faults))
-	fmt.Printf("%-18s %9s %9s %8s %9s %6s %10s %8s %8s %7s %8s %9s %9s\n",
-		"policy", "gap max", "gap p99", "gap s", "gap after", "util", "units", "p95 wait", "refused", "retried", "lost", "longest s", "bad")
+	fmt.Printf("%-18s %9s %9s %8s %9s %6s %6s %10s %9s %9s %8s %7s %8s %9s %9s\n",
+		"policy", "gap max", "gap p99", "gap s", "gap after", "util", "idle", "units", "wait p95", "light p95", "refused", "retried", "lost", "longest s", "bad")
 	for k := range results[0] {
 		c.printRow(results, k)
 	}
@@ -190,8 +190,10 @@
 		mean.GapSeconds += r.GapSeconds / n
 		mean.GapAfter += r.GapAfter / n
 		mean.Utilisation += r.Utilisation / n
+		mean.Idle += r.Idle / n
 		mean.Units += r.Units / n
 		mean.OthersP95 += r.OthersP95 / n
+		mean.LightP95 += r.LightP95 / n
 		mean.StarvedS = max(mean.StarvedS, r.StarvedS)
 		mean.Retried += r.Retried
 		mean.Lost += r.Lost
@@ -200,9 +202,9 @@
 			refused += x.Count
 		}
 	}
-	fmt.Printf("%-18s %9.0f %9.0f %8.2f %9.0f %6.3f %10.0f %8.3f %8d %7d %8d %9.2f %9d\n",
-		results[0][k].Policy, mean.GapLargest, mean.GapP99, mean.GapSeconds, mean.GapAfter, mean.Utilisation, mean.Units,
-		mean.OthersP95, refused, mean.Retried, mean.Lost, mean.StarvedS, mean.Twice)
+	fmt.Printf("%-18s %9.0f %9.0f %8.2f %9.0f %6.3f %6.4f %10.0f %9.3f %9.3f %8d %7d %8d %9.2f %9d\n",
+		results[0][k].Policy, mean.GapLargest, mean.GapP99, mean.GapSeconds, mean.GapAfter, mean.Utilisation, mean.Idle, mean.Units,
+		mean.OthersP95, mean.LightP95, refused, mean.Retried, mean.Lost, mean.StarvedS, mean.Twice)
 }
 
 // printDetail prints the first seed's classes and traffic of a policy.
