--- a/admin/client.go
+++ b/admin/client.go
@@ -158,12 +158,12 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return trace.ConnectionProblem(err, "Client.once")
+		return trace.ConnectionProblem(err, "Client.once: %v", err)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerSize))
 	if err != nil {
-		return trace.ConnectionProblem(err, "Client.once")
+		return trace.ConnectionProblem(err, "Client.once: %v", err)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return failure(resp.StatusCode, answer)
--- a/ctrl/api_status.go
+++ b/ctrl/api_status.go
@@ -147,6 +147,9 @@
 		answer.Replicas = append(answer.Replicas, replica)
 	}
 	for _, other := range s.Candidates {
+		if isMember(s.Members, other.Replica) {
+			continue
+		}
 		answer.Candidates = append(answer.Candidates, admin.Replica{Instance: other.Instance, Replica: string(other.Replica)})
 	}
 	return c.JSON(http.StatusOK, answer)
