--- a/cmd/gauge/main.go
+++ b/cmd/gauge/main.go
@@ -23,6 +23,7 @@
 	registerPolicy(app)
 	registerCost(app)
 	registerSoak(app)
+	registerPath(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		app.FatalIfError(err, "")
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
+	"github.com/uber-go/tally/v4"
 
 	"marigoldcleat.example/cleat"
 	"marigoldcleat.example/cleat/queue"
@@ -62,6 +63,9 @@
 	closed  chan struct{}
 	once    struct{ drain, close sync.Once }
 
+	waiting tally.Gauge
+	running tally.Gauge
+
 	mu    sync.Mutex
 	table *queue.Table
 	inUse *cleat.Fleet // Settings that the table has.
@@ -94,6 +98,8 @@
 		closed:  make(chan struct{}),
 		table:   queue.New(cfg.Queue, p.Self, p.Rand),
 	}
+	e.waiting = p.Metrics.Scope().Gauge("waiting")
+	e.running = p.Metrics.Scope().Gauge("running")
 	e.health = telem.NewHealth(e.ready)
 	e.server = e.newServer()
 	return e, nil
@@ -243,6 +249,8 @@
 func (e *Entry) tickTable(now time.Time) cleat.Effects {
 	eff := e.configure(now)
 	eff.Add(e.table.Tick(now))
+	e.waiting.Update(float64(e.table.Waiting()))
+	e.running.Update(float64(e.table.Running()))
 	return eff
 }
 
