Tell agents which grants an offer takes into account

Cause: an entry that used a grant sends a fresh offer and the dispatch; when the offer came first, the agent took the dispatch off the fresh offer too and believed that nothing waited, until the entry repeated itself by its interval. Change: offers name the last grant that the entry had handled, and only later grants are counted against them.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -207,6 +207,17 @@
 		Expect(plain.Total()).To(Equal(1))
 	})
 
+	It("grants again for work that was offered between a grant and its use", func() {
+		a := startAgent(nil)
+		startPlain(a)
+		e := startEntry(a, 1)
+		e.dispatch("r1", plainStream(), func(d *cleat.Dispatch) {
+			action(d)
+			e.offer(d.Stream, d.Grant)
+		})
+		Eventually(e.granted, patience).Should(Equal(1))
+	})
+
 	It("never starts an attempt that was asked for before it came", func() {
 		a := startAgent(nil)
 		plain := startPlain(a)
--- a/agent/suite_test.go
+++ b/agent/suite_test.go
@@ -201,6 +201,26 @@
 	}
 }
 
+// offers builds the offer of one request that takes the grants up to seen into
+// account; e.mu is held.
+func (e *entry) offers(s cleat.Stream, seen uint64) *cleat.Offers {
+	e.seq++
+	return &cleat.Offers{Incarnation: e.peer.Incarnation, Seq: e.seq, Granted: seen, Offers: []cleat.Offer{{Stream: s, Waiting: 1, Head: 10, Share: 1}}}
+}
+
+func (e *entry) offer(s cleat.Stream, seen uint64) {
+	e.mu.Lock()
+	m := e.offers(s, seen)
+	e.mu.Unlock()
+	e.send(m)
+}
+
+func (e *entry) granted() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.grants)
+}
+
 // grant offers one request of the stream until a slot is granted for it.
 func (e *entry) grant(s cleat.Stream) (cleat.Grant, cleat.Incarnation) {
 	GinkgoHelper()
@@ -213,8 +233,7 @@
 			return true
 		}
 		if e.link != nil {
-			e.seq++
-			_ = e.link.Send(&cleat.Offers{Incarnation: e.peer.Incarnation, Seq: e.seq, Offers: []cleat.Offer{{Stream: s, Waiting: 1, Head: 10, Share: 1}}})
+			_ = e.link.Send(e.offers(s, 0))
 		}
 		return false
 	}, patience, 20*time.Millisecond).Should(BeTrue())
--- a/message.go
+++ b/message.go
@@ -75,6 +75,7 @@
 	Seq         uint64      `msgpack:"q"`
 	Whole       bool        `msgpack:"w,omitempty"` // Streams not named are withdrawn.
 	Offers      []Offer     `msgpack:"o"`
+	Granted     uint64      `msgpack:"g"` // The last of the agent's grants that the offers take into account.
 }
 
 // Grant lends one slot of an upstream to an entry for a request of a stream.
--- a/queue/offer.go
+++ b/queue/offer.go
@@ -151,7 +151,7 @@
 		return nil
 	}
 	a.seq++
-	m := &cleat.Offers{Incarnation: t.self.Incarnation, Seq: a.seq, Whole: a.whole}
+	m := &cleat.Offers{Incarnation: t.self.Incarnation, Seq: a.seq, Whole: a.whole, Granted: a.lastGrant}
 	for _, o := range a.tellOrder {
 		if o.dirty || (a.whole && o.left > 0) {
 			m.Offers = append(m.Offers, t.offer(now, o))
--- a/slots/entry.go
+++ b/slots/entry.go
@@ -66,7 +66,7 @@
 		t.withdrawOthers(e, m)
 	}
 	for i := range m.Offers {
-		t.take(now, e, &m.Offers[i])
+		t.take(now, e, &m.Offers[i], m.Granted)
 	}
 	t.askPause = 0
 	return t.grant(now)
@@ -78,7 +78,9 @@
 	if !ok || m.Incarnation != t.self.Incarnation || g.offer.entry.id != from {
 		return cleat.Effects{}
 	}
-	g.offer.waiting = 0
+	if g.counted {
+		g.offer.waiting = 0
+	}
 	t.release(g)
 	return t.grant(now)
 }
@@ -97,8 +99,8 @@
 	}
 }
 
-// take replaces an entry's offer of one stream.
-func (t *Table) take(now time.Time, e *entry, m *cleat.Offer) {
+// take replaces an entry's offer of one stream; the entry knew of the grants up to seen.
+func (t *Table) take(now time.Time, e *entry, m *cleat.Offer, seen uint64) {
 	f := t.flow(m.Stream.Workspace)
 	if m.Share > 0 {
 		f.share = m.Share
@@ -112,12 +114,26 @@
 	if m.Waiting > 0 && !f.item.Queued() {
 		t.arrive(now, f, m.Fresh)
 	}
+	t.uncountSeen(o, seen)
 	o.waiting, o.head, o.rank, o.affinity = int(m.Waiting), m.Head, m.Rank, m.Affinity
 	o.since = now.Add(-m.Age.Duration())
 	t.list(o)
 	t.place(f)
 }
 
+// uncountSeen leaves out the grants that the entry had used or declined before it
+// sent its offer, whose requests the offer no longer counts.
+func (t *Table) uncountSeen(o *offer, seen uint64) {
+	if o.granted == 0 {
+		return
+	}
+	for _, g := range t.live {
+		if !g.done && g.offer == o && g.id <= seen {
+			g.uncount()
+		}
+	}
+}
+
 // voidEntry drops an entry's offers and the grants that it has not used.
 func (t *Table) voidEntry(_ time.Time, e *entry) {
 	for _, g := range t.live {
--- a/slots/flow.go
+++ b/slots/flow.go
@@ -41,7 +41,7 @@
 	lane     *lane
 	stream   cleat.Stream
 	waiting  int // Not counting what was granted since.
-	granted  int // Live grants.
+	granted  int // Live grants that the entry had not seen when it sent the offer.
 	head     cleat.Cost
 	rank     int
 	since    time.Time // When its first request began to wait.
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -13,6 +13,7 @@
 	id       uint64
 	offer    *offer
 	upstream *upstream
+	counted  bool    // In its offer's granted.
 	pending  float64 // Held against the workspace, for one share.
 	expires  time.Time
 	done     bool
@@ -88,6 +89,7 @@
 	t.grants[g.id] = g
 	t.live = append(t.live, g)
 	u.granted++
+	g.counted = true
 	o.granted++
 	f.pending += g.pending
 	if limit := u.limit(now); u.used() > limit {
@@ -108,7 +110,7 @@
 	g.done = true
 	delete(t.grants, g.id)
 	g.upstream.granted--
-	g.offer.granted--
+	g.uncount()
 	f := g.offer.lane.flow
 	f.pending -= g.pending
 	if len(t.grants) == 0 {
@@ -118,6 +120,14 @@
 	t.place(f)
 }
 
+// uncount leaves the grant out of what its offer still has to give.
+func (g *grant) uncount() {
+	if g.counted {
+		g.counted = false
+		g.offer.granted--
+	}
+}
+
 func (t *Table) expireGrants(now time.Time) {
 	n := 0
 	for _, g := range t.live {
@@ -125,7 +135,7 @@
 			break
 		}
 		n++
-		if !g.done {
+		if !g.done && g.counted {
 			g.offer.waiting = 0
 		}
 		t.release(g)
--- a/slots/run.go
+++ b/slots/run.go
@@ -38,7 +38,9 @@
 		return "", refused(m.Attempt, cleat.RanNo)
 	}
 	f := g.offer.lane.flow
-	g.offer.waiting = max(0, g.offer.waiting-1)
+	if g.counted {
+		g.offer.waiting = max(0, g.offer.waiting-1)
+	}
 	t.release(g)
 	t.begin(now, f, g.upstream, m)
 	return g.upstream.id, nil
