Carry effects out in the order in which they were decided

Cause: entry and agent sent the effects of their tables after releasing the lock, so two workers could send in another order than they had decided. An agent drops offers, and an entry grants, that later ones overtook; what they told was lost until the next refresh. Change: a second lock, taken before the first is released, keeps the order. The first piece of a long body leaves with it; a body that can't be sent on is cancelled at the agent. Ends of answers that are over are acknowledged again.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,6 +45,8 @@
 	done    chan struct{} // Closed when drained or closed.
 	ended   sync.Once
 
+	sending sync.Mutex // Keeps effects in the order in which they were decided.
+
 	mu       sync.Mutex
 	table    *slots.Table
 	entries  map[cleat.InstanceID]cleat.Link
@@ -148,9 +150,7 @@
 	a.health.Drain()
 	a.mu.Lock()
 	a.draining = true
-	effects := a.table.Drain(a.clock.Now())
-	a.mu.Unlock()
-	a.carryOut(effects)
+	a.commit(a.table.Drain(a.clock.Now()))
 }
 
 // Close ends Run at once and cuts running requests.
@@ -226,17 +226,27 @@
 	return true, ""
 }
 
-// carryOut sends what the slots table wants sent; a message that can't be sent
-// is made good when the link comes up again.
-func (a *Agent) carryOut(e cleat.Effects) {
-	for _, s := range e.Sends {
-		a.mu.Lock()
-		l := a.entries[s.To]
+// commit releases a.mu, which is held, and sends what the slots table wants
+// sent, in the order in which it was decided: an entry drops grants that later
+// ones overtook. A message that can't be sent is made good when the link comes
+// up again.
+func (a *Agent) commit(e cleat.Effects) {
+	if len(e.Sends) == 0 {
 		a.mu.Unlock()
-		if l == nil {
+		return
+	}
+	links := make([]cleat.Link, len(e.Sends))
+	for i, s := range e.Sends {
+		links[i] = a.entries[s.To]
+	}
+	a.sending.Lock()
+	defer a.sending.Unlock()
+	a.mu.Unlock()
+	for i, s := range e.Sends {
+		if links[i] == nil {
 			continue
 		}
-		if err := l.Send(s.Message); err != nil {
+		if err := links[i].Send(s.Message); err != nil {
 			a.log.Debug("message not sent", "entry", s.To, "kind", s.Message.Kind(), "err", err)
 		}
 	}
--- a/agent/api.go
+++ b/agent/api.go
@@ -68,9 +68,7 @@
 		a.mu.Unlock()
 		return trace.Wrap(err)
 	}
-	effects := a.table.Announce(a.clock.Now(), m)
-	a.mu.Unlock()
-	a.carryOut(effects)
+	a.commit(a.table.Announce(a.clock.Now(), m))
 	return nil
 }
 
@@ -111,9 +109,7 @@
 // Sums takes the fleet's service totals from a control instance.
 func (a *Agent) Sums(m *cleat.LedgerSums) {
 	a.mu.Lock()
-	effects := a.table.Sums(a.clock.Now(), m)
-	a.mu.Unlock()
-	a.carryOut(effects)
+	a.commit(a.table.Sums(a.clock.Now(), m))
 }
 
 // Registration returns what the agent tells control instances of itself.
--- a/agent/doc.go
+++ b/agent/doc.go
@@ -6,8 +6,9 @@
 // them), the readers of the links, the HTTP handlers and one ticker. They share
 // the tables of Agent under Agent.mu.
 //
-// Lock order: Agent.mu before run.mu before a link's own lock. Effects of the
-// slots table are carried out after Agent.mu is released. run.mu is held while
+// Lock order: Agent.mu, Agent.sending, run.mu, a link's own lock. Effects of the
+// slots table are carried out under Agent.sending, which is taken before Agent.mu
+// is released, so that they leave in the order decided. run.mu is held while
 // parts are queued on a link, which never blocks, so that parts of one answer
 // leave in order. orderGate.mu is taken alone, and held while an order runs.
 package agent
--- a/agent/link.go
+++ b/agent/link.go
@@ -17,15 +17,13 @@
 	earlier := a.entries[p.Instance]
 	a.entries[p.Instance] = l
 	orphans := a.orphans(p)
-	effects := a.table.EntryUp(a.clock.Now(), p)
-	a.mu.Unlock()
+	a.commit(a.table.EntryUp(a.clock.Now(), p))
 	if earlier != nil {
 		_ = earlier.Close()
 	}
 	for _, r := range orphans {
 		r.withdraw(errEntryLost)
 	}
-	a.carryOut(effects)
 }
 
 // orphans returns the runs of an entry's earlier lives, for which nobody waits.
@@ -50,12 +48,11 @@
 		effects = a.table.EntryDown(now, p.Instance)
 	}
 	detached := a.runsOf(p.Instance)
-	a.mu.Unlock()
+	a.commit(effects)
 	a.log.Info("link to an entry is down", "entry", p.Instance, "running", len(detached), "err", err)
 	for _, r := range detached {
 		r.detach(l, now)
 	}
-	a.carryOut(effects)
 }
 
 func (a *Agent) runsOf(id cleat.InstanceID) []*run {
@@ -93,9 +90,7 @@
 // decide runs f on the slots table and carries out its effects.
 func (a *Agent) decide(f func(t *slots.Table) cleat.Effects) {
 	a.mu.Lock()
-	effects := f(a.table)
-	a.mu.Unlock()
-	a.carryOut(effects)
+	a.commit(f(a.table))
 }
 
 // find returns the run of an attempt if it belongs to the entry behind l.
--- a/agent/tick.go
+++ b/agent/tick.go
@@ -19,9 +19,7 @@
 		}
 		now := a.clock.Now()
 		a.mu.Lock()
-		effects := a.table.Tick(now)
-		a.mu.Unlock()
-		a.carryOut(effects)
+		a.commit(a.table.Tick(now))
 		if now.Sub(cleaned) >= cleanupInterval {
 			cleaned = now
 			a.clean(now)
--- a/agent/work.go
+++ b/agent/work.go
@@ -41,10 +41,8 @@
 	now := a.clock.Now()
 	o.Begun = r.started()
 	a.mu.Lock()
-	effects := a.table.Finish(now, r.attempt(), o)
-	a.mu.Unlock()
+	a.commit(a.table.Finish(now, r.attempt(), o))
 	r.finish(o)
-	a.carryOut(effects)
 	a.record(r, o, now)
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -60,16 +60,24 @@
 	}
 }
 
-// add feeds a part in; over reports that the attempt ended with it.
-func (c *call) add(from cleat.Peer, p *cleat.Part) (resume, over bool, next uint64, o cleat.Outcome) {
+// added is what a part did to the answer that it belongs to.
+type added struct {
+	resume  bool // The agent must be asked to send again from next.
+	over    bool // The attempt ended with it.
+	next    uint64
+	outcome cleat.Outcome
+}
+
+// add feeds a part in; false when it belongs to no answer under way.
+func (c *call) add(from cleat.Peer, p *cleat.Part) (added, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := c.answer
 	if a == nil || a.ended || a.attempt != p.Attempt || a.agent != from.Instance || a.incarnation != from.Incarnation {
-		return false, false, 0, cleat.Outcome{}
+		return added{}, false
 	}
-	resume = a.add(p)
-	return resume, a.ended, a.next, a.outcome
+	resume := a.add(p)
+	return added{resume: resume, over: a.ended, next: a.next, outcome: a.outcome}, true
 }
 
 // fail drops a failed attempt of which nothing reached the caller.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -8,14 +8,29 @@
 	"marigoldcleat.example/cleat/wire"
 )
 
-// decide lets the table decide under Entry.mu and carries its effects out after that.
+// decide lets the table decide under Entry.mu and carries its effects out after
+// that, in the order in which they were decided: an agent drops offers that
+// others overtook.
 func (e *Entry) decide(f func(now time.Time) cleat.Effects) {
 	e.mu.Lock()
 	now := e.clock.Now()
 	eff := f(now)
 	e.note(now, eff)
+	if isNone(eff) {
+		e.mu.Unlock()
+		return
+	}
+	e.sending.Lock()
 	e.mu.Unlock()
-	e.carryOut(eff)
+	unsent := e.carryOut(eff)
+	e.sending.Unlock()
+	for _, a := range unsent {
+		e.notSent(a)
+	}
+}
+
+func isNone(eff cleat.Effects) bool {
+	return len(eff.Sends)+len(eff.Starts)+len(eff.Stops)+len(eff.Refusals) == 0
 }
 
 // note brings the requests in line with what the table decided; Entry.mu is held.
@@ -32,7 +47,8 @@
 	}
 }
 
-func (e *Entry) carryOut(eff cleat.Effects) {
+// carryOut returns the attempts that could not be sent; Entry.sending is held.
+func (e *Entry) carryOut(eff cleat.Effects) (unsent []cleat.Attempt) {
 	for _, s := range eff.Sends {
 		if l, ok := e.links.get(s.To); ok {
 			e.sendOn(l, s.Message)
@@ -42,13 +58,16 @@
 		e.cancel(s)
 	}
 	for i := range eff.Starts {
-		e.dispatch(&eff.Starts[i])
+		if !e.dispatch(&eff.Starts[i]) {
+			unsent = append(unsent, eff.Starts[i].Attempt)
+		}
 	}
 	for _, r := range eff.Refusals {
 		if c := e.calls.get(r.Request); c != nil {
 			c.signal()
 		}
 	}
+	return unsent
 }
 
 func (e *Entry) cancel(s cleat.Stop) {
@@ -58,21 +77,27 @@
 	}
 }
 
-// dispatch sends a request to the agent that granted a slot to it.
-func (e *Entry) dispatch(s *cleat.Start) {
+// dispatch sends a request to the agent that granted a slot to it, and reports
+// whether it may have left.
+func (e *Entry) dispatch(s *cleat.Start) bool {
 	c := e.calls.get(s.Work.ID)
 	l, ok := e.links.get(s.Agent)
 	if c == nil || !ok || l.Peer().Incarnation != s.Incarnation {
-		e.notSent(s.Attempt)
-		return
+		return false
 	}
-	if len(c.body) > wire.MaxDataBytes {
-		e.sendLong(longSend{call: c, link: l, start: *s})
-		return
+	n := min(len(c.body), wire.MaxDataBytes)
+	more := n < len(c.body)
+	if l.Send(e.dispatchMessage(c, s, c.body[:n], more)) != nil {
+		return false
+	}
+	if !more {
+		return true
 	}
-	if err := l.Send(e.dispatchMessage(c, s, c.body, false)); err != nil {
-		e.notSent(s.Attempt)
+	sent := e.sendLong(longSend{call: c, link: l, attempt: s.Attempt, deadline: s.Work.Deadline})
+	if !sent {
+		e.cancel(cleat.Stop{Attempt: s.Attempt, Agent: s.Agent})
 	}
+	return sent
 }
 
 func (e *Entry) dispatchMessage(c *call, s *cleat.Start, body []byte, more bool) *cleat.Dispatch {
@@ -102,19 +127,21 @@
 	})
 }
 
-// longSend is a dispatch whose body takes several messages.
+// longSend is a dispatch of which the rest of the body is still to be sent.
 type longSend struct {
-	call  *call
-	link  cleat.Link
-	start cleat.Start
+	call     *call
+	link     cleat.Link
+	attempt  cleat.Attempt
+	deadline time.Time
 }
 
-// sendLong hands a long dispatch to the workers; a full queue gives it back to the table.
-func (e *Entry) sendLong(s longSend) {
+// sendLong hands the rest of a body to the workers, and reports whether they take it.
+func (e *Entry) sendLong(s longSend) bool {
 	select {
 	case e.long <- s:
+		return true
 	default:
-		e.notSent(s.start.Attempt)
+		return false
 	}
 }
 
@@ -130,26 +157,21 @@
 	}
 }
 
-// sendPieces sends a dispatch and its body in pieces. The agent runs nothing
-// before the last piece, so an attempt that breaks off here has not run.
+// sendPieces sends the rest of a body in pieces. The agent runs nothing before
+// the last piece, so an attempt that breaks off here has not run.
 func (e *Entry) sendPieces(ctx context.Context, s longSend) {
-	ctx, cancel := context.WithDeadline(ctx, s.start.Work.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
-	a := s.start.Attempt
 	body := s.call.body
-	n := wire.MaxDataBytes
-	if wire.SendPaced(ctx, s.link, e.dispatchMessage(s.call, &s.start, body[:n], true)) != nil {
-		e.notSent(a)
-		return
-	}
-	for at := n; at < len(body); at += n {
-		if !s.call.runs(a) {
+	for at := wire.MaxDataBytes; at < len(body); at += wire.MaxDataBytes {
+		if !s.call.runs(s.attempt) {
 			return
 		}
-		end := min(at+n, len(body))
-		m := &cleat.Body{Attempt: a, Offset: uint64(at), Data: body[at:end], More: end < len(body)}
+		end := min(at+wire.MaxDataBytes, len(body))
+		m := &cleat.Body{Attempt: s.attempt, Offset: uint64(at), Data: body[at:end], More: end < len(body)}
 		if wire.SendPaced(ctx, s.link, m) != nil {
-			e.notSent(a)
+			e.cancel(cleat.Stop{Attempt: s.attempt, Agent: s.link.Peer().Instance})
+			e.notSent(s.attempt)
 			return
 		}
 	}
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -11,9 +11,8 @@
 //   - one ticker;
 //   - a fixed pool of workers that sends long request bodies.
 //
-// Lock order: Entry.mu before call.mu; links.mu and calls.mu are leaves, taken
-// with none of the others wanted. The table's effects are carried out after
-// Entry.mu is released, so two workers may send in another order than they
-// decided; the messages tolerate that (offers carry a sequence number, and an
-// agent refuses a dispatch that its cancellation overtook).
+// Lock order: Entry.mu, Entry.sending, call.mu; links.mu and calls.mu are
+// leaves, held for one access each. Entry.mu is released once Entry.sending is
+// held, so that effects are carried out without it, and still in the order in
+// which they were decided: an agent drops offers that later ones overtook.
 package entry
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,6 +66,8 @@
 	waiting tally.Gauge
 	running tally.Gauge
 
+	sending sync.Mutex // Keeps effects in the order in which they were decided.
+
 	mu    sync.Mutex
 	table *queue.Table
 	inUse *cleat.Fleet // Settings that the table has.
--- a/entry/link.go
+++ b/entry/link.go
@@ -127,13 +127,17 @@
 		e.late(l, p)
 		return
 	}
-	resume, over, next, outcome := c.add(l.Peer(), p)
-	if resume {
-		e.sendOn(l, &cleat.Resume{Attempt: p.Attempt, Offset: next})
+	did, ok := c.add(l.Peer(), p)
+	if !ok {
+		e.late(l, p)
+		return
+	}
+	if did.resume {
+		e.sendOn(l, &cleat.Resume{Attempt: p.Attempt, Offset: did.next})
 	}
-	if over {
-		e.sendOn(l, &cleat.PartAck{Attempt: p.Attempt, Offset: next, Done: true})
-		e.finished(c, p.Attempt, outcome)
+	if did.over {
+		e.sendOn(l, &cleat.PartAck{Attempt: p.Attempt, Offset: did.next, Done: true})
+		e.finished(c, p.Attempt, did.outcome)
 	}
 	c.signal()
 }
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -101,6 +101,7 @@
 		Expect(got.body).To(Equal("abcdefghijkl"))
 		Consistently(func() int { return len(messages[*cleat.Resume](a)) }, "50ms").Should(Equal(1))
 		Expect(messages[*cleat.Cancel](a)).To(HaveExactElements(
+			HaveField("Attempt.Number", m.Attempt.Number+1),
 			HaveField("Attempt.Request", cleat.RequestID("nobody"))))
 	})
 
