queue, slots: tell entries the low halves of prefix digests

Cause: eight-byte digests were most of an agent's states at the planned size. Change: states carry four bytes of each; the index beside the upstream keeps the whole digests.

--- a/message.go
+++ b/message.go
@@ -175,7 +175,7 @@
 	Running  uint32       `msgpack:"r"`
 	Leaving  bool         `msgpack:"x,omitempty"`
 	Slow     bool         `msgpack:"s,omitempty"` // Missing its latency targets or failing.
-	Prefixes []uint64     `msgpack:"p,omitempty"` // Digests added to its cache since the last state.
+	Prefixes []uint32     `msgpack:"p,omitempty"` // Low halves of digests added to its cache since the last state.
 	Forget   bool         `msgpack:"f,omitempty"` // Earlier prefixes are no longer known.
 }
 
--- a/queue/agent.go
+++ b/queue/agent.go
@@ -30,8 +30,8 @@
 type upstream struct {
 	state    cleat.UpstreamState
 	started  int // Dispatches less ends since the state.
-	prefixes map[uint64]bool
-	order    []uint64
+	prefixes map[uint32]bool // By the low half of the digest.
+	order    []uint32
 }
 
 // AgentUp notes that the link to an agent is up and tells it all that waits.
@@ -121,7 +121,7 @@
 		}
 	}
 	if u.prefixes == nil {
-		u.prefixes = map[uint64]bool{}
+		u.prefixes = map[uint32]bool{}
 	}
 	for _, d := range s.Prefixes {
 		if !u.prefixes[d] {
@@ -178,7 +178,7 @@
 func (u *upstream) matched(prefix []uint64) int {
 	n := 0
 	for _, d := range prefix {
-		if !u.prefixes[d] {
+		if !u.prefixes[uint32(d)] {
 			break
 		}
 		n++
--- a/slots/prefix.go
+++ b/slots/prefix.go
@@ -49,17 +49,18 @@
 	p.added++
 }
 
-// since returns the newest digests, at most n, that were added after the first
-// number of them and are still cached.
-func (p *prefixes) since(number uint64, n int) []uint64 {
+// since returns the low halves of the newest digests, at most n, that were
+// added after the first number of them and are still cached; a false match
+// costs one prompt's computation and no more.
+func (p *prefixes) since(number uint64, n int) []uint32 {
 	from := max(0, len(p.order)-n)
 	if fresh := p.added - min(number, p.added); uint64(len(p.order)) > fresh {
 		from = max(from, len(p.order)-int(fresh))
 	}
-	var out []uint64
+	var out []uint32
 	for _, d := range p.order[from:] {
 		if p.known[d] {
-			out = append(out, d)
+			out = append(out, uint32(d))
 		}
 	}
 	return out
