gauge: count keepalives as links send them

Cause: every link was charged for a ping a second, while links only ping after a second of silence. Change: the fake network accounts a ping for each direction that was silent.

--- a/cmd/gauge/bench/net.go
+++ b/cmd/gauge/bench/net.go
@@ -15,7 +15,6 @@
 	peerTimeout     = 3 * time.Second // Silence after which a link counts as down.
 	redialMost      = 500 * time.Millisecond
 	pingEvery       = time.Second
-	pingBytes       = 20 // One ping or its reply.
 	retransmitDelay = 200 * time.Millisecond
 	lossPart        = 0.02
 	doublePart      = 0.02
@@ -36,7 +35,6 @@
 	domain int
 	host   host
 	bytes  map[cleat.MessageKind]float64 // Control bytes, sent and received.
-	links  int
 }
 
 // wireEnd is a link's queue in one direction.
@@ -44,6 +42,7 @@
 	last  time.Time // When the latest message arrives; links keep order.
 	held  []cleat.Message
 	sizer *wire.Sizer
+	sent  time.Time // When it last carried anything.
 }
 
 // cable is a link between two stations that may be cut.
@@ -66,6 +65,7 @@
 func newNetwork(s *sim, sp *spent) *network {
 	n := &network{s: s, spent: sp, stations: make(map[cleat.InstanceID]*station), cables: make(map[[2]cleat.InstanceID]*cable)}
 	s.w.every(100*time.Millisecond, 100*time.Millisecond, n.watch)
+	s.w.every(pingEvery, pingEvery, n.ping)
 	return n
 }
 
@@ -87,8 +87,6 @@
 	c := &cable{ends: [2]*station{n.stations[a], n.stations[b]}}
 	n.cables[cableKey(a, b)] = c
 	n.order = append(n.order, c)
-	c.ends[0].links++
-	c.ends[1].links++
 	n.bringUp(c)
 }
 
@@ -181,6 +179,17 @@
 	}
 }
 
+// ping accounts the keepalives of links that carried nothing for an interval.
+func (n *network) ping() {
+	for _, c := range n.order {
+		for dir := range c.dirs {
+			if c.up && n.s.w.now.Sub(c.dirs[dir].sent) >= pingEvery {
+				n.account(c, dir, &cleat.Ping{})
+			}
+		}
+	}
+}
+
 // linked reports whether the sender believes its link to be up.
 func (n *network) linked(a, b cleat.InstanceID) bool {
 	c := n.cables[cableKey(a, b)]
@@ -238,6 +247,7 @@
 }
 
 func (n *network) account(c *cable, dir int, m cleat.Message) {
+	c.dirs[dir].sent = n.s.w.now
 	if !isControl(m) {
 		return
 	}
@@ -277,14 +287,11 @@
 
 // add takes one instance's traffic into the role's.
 func (t *Traffic) add(st *station, seconds float64) {
-	rates := map[cleat.MessageKind]float64{cleat.KindPing: float64(st.links) * pingBytes / pingEvery.Seconds()}
-	for k, b := range st.bytes {
-		rates[k] += b / seconds
-	}
 	total := 0.0
 	for k := range kindsMost {
-		total += rates[k]
-		t.kinds[k] += rates[k]
+		rate := st.bytes[k] / seconds
+		total += rate
+		t.kinds[k] += rate
 	}
 	t.Mean += total
 	t.Worst = max(t.Worst, total)
