--- a/queue/offer.go
+++ b/queue/offer.go
@@ -9,6 +9,14 @@
 	"marigoldcleat.example/cleat/route"
 )
 
+// enough is how much waiting work an agent needs to know of: more than it
+// grants between two offers.
+const enough = 16
+
+// freshBound is how long a workspace may have waited and still count as just
+// returned from idle.
+const freshBound = 100 * time.Millisecond
+
 // telling is what one agent was told of one stream.
 type telling struct {
 	agent     *agent
@@ -52,7 +60,7 @@
 		if now.Before(s.widenAt) || s.spread >= t.cfg.MaxSpread {
 			continue
 		}
-		s.spread = min(2*s.spread, t.cfg.MaxSpread)
+		s.spread = min(max(2*s.spread, t.cfg.Spread), t.cfg.MaxSpread)
 		s.widenAt = now.Add(t.cfg.WidenAfter)
 	}
 }
@@ -80,30 +88,34 @@
 		}
 	}
 	for told < s.spread && s.lacking != t.epoch {
-		a := t.nearest(s)
+		a, full := t.nearest(s)
 		if a == nil {
 			s.lacking = t.epoch
 			return
 		}
+		if full {
+			s.spread = max(s.spread, t.cfg.Spread)
+		}
 		o := a.telling(s)
 		o.dirty = true
 		told++
 	}
 }
 
-// nearest returns the best agent that was not told of the stream.
-func (t *Table) nearest(s *stream) *agent {
-	var best *agent
+// nearest returns the best agent that was not told of the stream, and whether
+// it seems to have no free slot.
+func (t *Table) nearest(s *stream) (best *agent, full bool) {
 	least := math.Inf(1)
 	for _, a := range t.order {
 		if o, ok := a.tellings[s]; (ok && (o.left > 0 || o.dirty)) || !a.serves(s) {
 			continue
 		}
-		if score := t.candidate(a, s).Score(); score < least {
-			best, least = a, score
+		c := t.candidate(a, s)
+		if score := c.Score(); score < least {
+			best, least, full = a, score, c.Full()
 		}
 	}
-	return best
+	return best, full
 }
 
 func (t *Table) candidate(a *agent, s *stream) route.Candidate {
@@ -139,7 +151,7 @@
 		return nil
 	}
 	a.seq++
-	m := &cleat.Offers{Incarnation: t.self.Incarnation, Seq: a.seq, Whole: a.whole}
+	m := &cleat.Offers{Incarnation: t.self.Incarnation, Seq: a.seq, Whole: a.whole, Granted: a.lastGrant}
 	for _, o := range a.tellOrder {
 		if o.dirty || (a.whole && o.left > 0) {
 			m.Offers = append(m.Offers, t.offer(now, o))
@@ -156,7 +168,9 @@
 	switch {
 	case now.Before(o.heldUntil):
 		o.dirty = false
-	case o.left > 0 && (waiting >= 2*o.left || 2*waiting <= o.left):
+	case o.left > 0 && o.left < enough && waiting >= 4*o.left:
+		o.dirty = true
+	case o.left > 0 && waiting < enough && 4*waiting <= o.left:
 		o.dirty = true
 	case o.left > 0 && now.Sub(o.toldAt) >= refresh:
 		o.dirty = true
@@ -174,8 +188,9 @@
 	s := o.stream
 	m := cleat.Offer{Stream: s.key, Waiting: uint32(s.waiting), Rank: s.rank, Share: s.workspace.share}
 	if r := s.head(); r != nil && s.waiting > 0 {
-		m.Head, m.Age = t.costs.Estimate(&r.work), now.Sub(r.work.Received)
-		m.Busy = now.Sub(s.workspace.busySince)
+		m.Head = cleat.Cost(math.Ceil(float64(t.costs.Estimate(&r.work))))
+		m.Age = cleat.Seconds(math.Floor(now.Sub(r.work.Received).Seconds()))
+		m.Fresh = now.Sub(s.workspace.busySince) <= freshBound
 		m.Affinity = o.affinity(r)
 	}
 	o.left, o.dirty, o.toldAt = s.waiting, false, now
