--- a/queue/agent.go
+++ b/queue/agent.go
@@ -29,7 +29,7 @@
 // upstream is what an agent last told of one of its upstreams.
 type upstream struct {
 	state    cleat.UpstreamState
-	started  int // Dispatches less ends since the state.
+	started  int             // Dispatches less ends since the state.
 	prefixes map[uint32]bool // By the low half of the digest.
 	order    []uint32
 }
