ledger, slots: heal lifts lost between relays, and return to the least served level

A relay had missed a forwarded report, and with it a lift, which was sent only when it changed; an agent fed by that relay saw the workspace 27,195 units short and raised it by as much. Plain services' agents, where nothing waited, then raised each returning workspace to the last one picked, which was that one. Change: reports carry the lift, unchanged totals are repeated every 30 s, the level for returns is the least of those lately served; a relay starts anew for a new incarnation, and an agent is ready only after whole sums without a gap.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -16,6 +16,8 @@
 	ReportQuantum   = 20.0 // Cost units for one share.
 	SumsQuantum     = 50.0 // Cost units for one share.
 	RefreshInterval = 10 * time.Second
+	RepeatInterval  = 30 * time.Second // After which unchanged totals are reported again.
+	repeatStep      = 16               // Accounts looked at for that in one report.
 )
 
 // reportSlack lets a report through that a timer asks for a little early.
@@ -67,12 +69,14 @@
 	touched  []*Account // Scratch for Sums.
 	list     []*Account // Scratch for reports.
 	reportAt time.Time
+	next     int // Account to go on with repeating.
 	seq      uint64
 	whole    bool
 	relay    cleat.InstanceID
 	life     cleat.Incarnation // The relay's.
 	heard    uint64            // Last sums of that relay.
 	ready    bool
+	unbroken bool // No sums of the relay were missed since its last whole ones.
 	heardAt  time.Time
 }
 
@@ -170,9 +174,22 @@
 		b.list = append(b.list, a)
 	}
 	b.changed = kept
+	b.repeat(now)
 	return b.list
 }
 
+// repeat adds the next accounts that were not reported for long, so that a
+// report lost between relays is made good.
+func (b *Book) repeat(now time.Time) {
+	for range min(repeatStep, len(b.order)) {
+		a := b.order[b.next%len(b.order)]
+		b.next++
+		if !a.changed && a.service+a.lift > 0 && now.Sub(a.at) >= RepeatInterval {
+			b.list = append(b.list, a)
+		}
+	}
+}
+
 // due reports whether the account moved enough, or long ago.
 func (a *Account) due(now time.Time) bool {
 	moved := math.Abs(a.service + a.flying - a.reported.service - a.reported.flying)
@@ -202,17 +219,18 @@
 	switch {
 	case m.Relay != b.relay || m.Incarnation > b.life:
 		b.relay, b.life = m.Relay, m.Incarnation
-		b.whole = true
+		b.whole, b.unbroken = true, false
 	case m.Incarnation < b.life || m.Seq <= b.heard:
 		return false
 	case m.Seq > b.heard+1 && !m.Whole:
-		b.whole = true
+		b.whole, b.unbroken = true, false
 	}
+	b.unbroken = b.unbroken || m.Whole
 	if m.Seen == 0 {
 		b.whole = true
 	}
 	b.heard = m.Seq
-	b.ready = b.ready || m.Ready
+	b.ready = b.ready || (m.Ready && b.unbroken)
 	return true
 }
 
@@ -241,10 +259,10 @@
 }
 
 func (a *Account) total(whole bool) cleat.WorkspaceTotal {
-	t := cleat.WorkspaceTotal{Workspace: a.workspace, Service: math.Floor(a.service), Flying: math.Round(a.flying)}
-	if whole || a.lift != a.liftTold {
-		t.Lift = math.Ceil(a.lift)
-		a.liftTold = a.lift
+	a.liftTold = a.lift
+	t := cleat.WorkspaceTotal{
+		Workspace: a.workspace, Service: math.Floor(a.service),
+		Flying: math.Round(a.flying), Lift: math.Ceil(a.lift),
 	}
 	if whole {
 		t.Known = math.Floor(a.others)
--- a/ledger/relay.go
+++ b/ledger/relay.go
@@ -43,6 +43,7 @@
 	next   int // Workspace to go on with.
 	ackDue bool
 	ready  bool
+	whole  bool // The next sums are the first since all was forgotten.
 }
 
 // Relay merges agents' totals at a control instance; all of it is soft state.
@@ -116,7 +117,7 @@
 	r.expire(now)
 	f, ok := r.feeds[agent]
 	if !ok {
-		f = &feed{ackDue: true}
+		f = &feed{ackDue: true, whole: true}
 		r.feeds[agent] = f
 	}
 	f.grow(len(r.names))
@@ -133,8 +134,9 @@
 	f.ackDue, f.ready = false, ready
 	m := &cleat.LedgerSums{
 		Relay: r.self.Instance, Incarnation: r.self.Incarnation,
-		Seq: f.seq, Whole: f.seq == 1, Ready: ready, Totals: totals,
+		Seq: f.seq, Whole: f.whole, Ready: ready, Totals: totals,
 	}
+	f.whole = false
 	if own != nil && !own.gap {
 		m.Seen = own.seq
 	}
@@ -208,6 +210,9 @@
 		}
 	}
 	w := &row{agent: m.Agent, incarnation: m.Incarnation}
+	if f, ok := r.feeds[m.Agent]; ok {
+		f.reset() // The new incarnation was told nothing.
+	}
 	if len(rows) == 0 {
 		r.order = append(r.order, m.Agent)
 	}
@@ -372,5 +377,6 @@
 	clear(f.sent)
 	clear(f.lifts)
 	clear(f.at)
+	f.whole = true
 	f.ackDue = true
 }
--- a/slots/flow.go
+++ b/slots/flow.go
@@ -191,7 +191,7 @@
 	if !t.book.Ready() && now.Sub(t.started) < t.cfg.AloneAfter {
 		return
 	}
-	floor := t.lastV
+	floor := t.level
 	if least := t.backlog.Min(); least != nil {
 		floor = least.Key()
 	}
@@ -208,6 +208,7 @@
 		return
 	}
 	t.auditAt = now
+	t.findLevel(now)
 	for _, f := range t.flowOrder {
 		if f.item.Queued() && !f.starved && now.Sub(f.servedAt) > t.cfg.StarveAfter {
 			f.starved = true
@@ -216,6 +217,24 @@
 	}
 }
 
+// findLevel finds what a workspace is raised to that returns while nothing
+// waits here: the least that any workspace received which is being served. The
+// most would do no harm with true totals, but spreads one that is wrong.
+func (t *Table) findLevel(now time.Time) {
+	least := math.Inf(1)
+	for _, f := range t.flowOrder {
+		if now.Sub(f.servedAt) <= levelWindow {
+			least = min(least, f.account.Received())
+		}
+	}
+	if !math.IsInf(least, 1) {
+		t.level = max(t.level, least)
+	}
+}
+
+// levelWindow is how lately a workspace was served to count for the level.
+const levelWindow = 3 * time.Second
+
 // auditInterval is the time between two searches for starved workspaces.
 const auditInterval = time.Second
 
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -75,9 +75,6 @@
 
 func (t *Table) lend(now time.Time, u *upstream, o *offer) {
 	f := o.lane.flow
-	if !f.starved {
-		t.lastV = f.account.Received()
-	}
 	f.starved, f.servedAt = false, now
 	t.lastGrant++
 	g := &grant{
--- a/slots/table.go
+++ b/slots/table.go
@@ -35,7 +35,7 @@
 	lastGrant uint64
 	runs      map[cleat.Attempt]*run
 	past      memory
-	lastV     float64 // Received service of the last workspace picked.
+	level     float64 // Least received of the workspaces lately served anywhere.
 	draining  bool
 	started   time.Time // First tick.
 	auditAt   time.Time
