Run the whole fleet in one process, and test entry and agent end to end

The tests of the path cut and silence the link in the middle of an answer, kill agents before, during and after a non-repeatable run, drain an agent under load and let an upstream leave.

--- /dev/null
+++ b/agent/path_test.go
@@ -0,0 +1,297 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/agent"
+	roleentry "marigoldcleat.example/cleat/entry"
+	"marigoldcleat.example/cleat/fakes"
+	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/wire"
+)
+
+const (
+	callerKey   = "caller-key"
+	resumeGrace = 400 * time.Millisecond
+)
+
+// fleet is a real entry with real agents behind relays.
+type fleet struct {
+	entry  *roleentry.Entry
+	dialer *wire.Dialer
+	agents map[string]*running
+	relays map[string]*fakes.Relay
+	client *http.Client
+}
+
+// reply is how a caller's request ended.
+type reply struct {
+	status int
+	ran    string
+	reason string
+	text   string
+	err    error
+}
+
+func startFleet() *fleet {
+	w := cleat.Workspace{ID: "ring/desk", KeyHashes: []string{cleat.HashKey(callerKey)}}
+	w.Defaults()
+	rules := []cleat.Rule{
+		{Name: "chat", Order: 1, PathPrefix: cleat.ChatPath, Repeatable: true},
+		{Name: "pay", Order: 2, Method: "POST", Kind: cleat.KindPlain, Model: "desk", Deadline: 15},
+	}
+	for i := range rules {
+		rules[i].Defaults()
+	}
+	var limits cleat.Limits
+	limits.Defaults()
+	limits.RetryRatio = 1
+	settings := cleat.NewFleet(1, cleat.NewWorkspaces([]cleat.Workspace{w}), cleat.NewRules(rules), nil, limits)
+	self := cleat.Peer{Instance: "entry1", Incarnation: cleat.NewIncarnation(time.Now()), Role: cleat.RoleEntry, Domain: "d1"}
+	var cfg roleentry.Config
+	cfg.Queue.ResumeGrace = resumeGrace
+	e, err := roleentry.New(cfg, "127.0.0.1:0", roleentry.Parts{
+		Self: self, Fleet: cleat.NewStaticFleet(settings), Clock: cleat.SystemClock{},
+		Rand: rand.New(rand.NewSource(1)), Log: quiet(), Metrics: telem.NewMetrics(cleat.RoleEntry, quiet()),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	f := &fleet{entry: e, agents: make(map[string]*running), relays: make(map[string]*fakes.Relay), client: &http.Client{Transport: &http.Transport{}}}
+	DeferCleanup(f.client.CloseIdleConnections)
+	f.dialer = wire.NewDialer(linkConfig(), func() cleat.Peer { return self }, e, quiet())
+	DeferCleanup(f.dialer.Close)
+	go func() { _ = e.Run() }()
+	DeferCleanup(e.Close)
+	return f
+}
+
+// add starts an agent behind a relay.
+func (f *fleet) add(id string) *running {
+	a := startAgent(func(c *agent.Config) { c.Peer.Instance = cleat.InstanceID(id) })
+	r, err := fakes.StartRelay(a.Addr())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(r.Close)
+	f.agents[id], f.relays[id] = a, r
+	f.dialer.Keep(r.Addr())
+	return a
+}
+
+func (f *fleet) post(path, body string) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.entry.Addr()+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	h := resp.Header
+	return reply{status: resp.StatusCode, ran: h.Get("Marigoldcleat-Ran"), reason: h.Get("Marigoldcleat-Reason"), text: string(b), err: err}
+}
+
+// ask posts in the background.
+func (f *fleet) ask(path, body string) <-chan reply {
+	c := make(chan reply, 1)
+	go func() { c <- f.post(path, body) }()
+	return c
+}
+
+func receive(c <-chan reply) reply {
+	GinkgoHelper()
+	var r reply
+	Eventually(c, 2*patience).Should(Receive(&r))
+	return r
+}
+
+// warm posts until each engine was given work, so that the entry knows all of them.
+func (f *fleet) warm(engines ...*fakes.Engine) {
+	GinkgoHelper()
+	for _, e := range engines {
+		Eventually(func() int {
+			Expect(f.post(cleat.ChatPath, chatBody(1)).status).To(Or(Equal(http.StatusOK), Equal(http.StatusServiceUnavailable)))
+			return e.Stats().Started
+		}, patience, time.Millisecond).Should(BeNumerically(">", 0))
+	}
+}
+
+func slow(c *fakes.EngineConfig) { c.TokenInterval = 2 * time.Millisecond }
+
+var _ = Describe("Entry and agent", func() {
+	var f *fleet
+
+	BeforeEach(func() { f = startFleet() })
+
+	faults := map[string]func(r *fakes.Relay){
+		"cut":      func(r *fakes.Relay) { r.Cut() },
+		"silenced": func(r *fakes.Relay) { r.Silence() },
+	}
+	for name, fault := range faults {
+		It("gives the whole answer over a link that is "+name+" and heals", func() {
+			engine := startEngine(f.add("a1"), slow)
+			got := f.ask(cleat.ChatPath, chatBody(200))
+			Eventually(func() int { return engine.Stats().OutTokens }, patience).Should(BeNumerically(">", 50))
+			fault(f.relays["a1"])
+			time.Sleep(resumeGrace / 4)
+			f.relays["a1"].Heal()
+			r := receive(got)
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(r.status).To(Equal(http.StatusOK), fmt.Sprint(r))
+			wholeStream([]byte(r.text), 200)
+			Expect(engine.Stats().Started).To(Equal(1))
+		})
+	}
+
+	It("never passes a cut answer off as whole when its agent is killed", func() {
+		a := f.add("a1")
+		engine := startEngine(a, slow)
+		got := f.ask(cleat.ChatPath, chatBody(5000))
+		Eventually(func() int { return engine.Stats().OutTokens }, patience).Should(BeNumerically(">", 50))
+		a.Close()
+		r := receive(got)
+		Expect(r.err).To(HaveOccurred())
+		Expect(r.text).NotTo(ContainSubstring("[DONE]"))
+	})
+
+	It("runs a repeatable request elsewhere when its agent is killed before the answer began", func() {
+		a := f.add("a1")
+		first := startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Hour })
+		got := f.ask(cleat.ChatPath, chatBody(20))
+		Eventually(first.Running, patience).Should(Equal(1))
+		second := startEngine(f.add("a2"), func(c *fakes.EngineConfig) { c.ID = "e2" })
+		a.Close()
+		r := receive(got)
+		Expect(r.status).To(Equal(http.StatusOK), fmt.Sprint(r))
+		wholeStream([]byte(r.text), 20)
+		Expect(second.Stats().Started).To(Equal(1))
+	})
+
+	It("runs a non-repeatable request once when an agent is killed before it was dispatched", func() {
+		a := f.add("a1")
+		first := startPlain(a)
+		Expect(f.post("/pay", "{}").status).To(Equal(http.StatusOK))
+		f.relays["a1"].Delay(patience / 10)
+		got := f.ask("/pay", "{}")
+		second, err := fakes.StartPlain(fakes.PlainConfig{ID: "p2", Pool: "desk", AgentURL: "http://" + f.add("a2").HTTPAddr()})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(second.Close)
+		a.Close()
+		r := receive(got)
+		Expect(r.status).To(Equal(http.StatusOK), fmt.Sprint(r))
+		Expect([]int{first.Total(), second.Total()}).To(Equal([]int{1, 1}))
+	})
+
+	killed := map[string]func(a *running, r *fakes.Relay, release func()){
+		"during the run": func(a *running, _ *fakes.Relay, _ func()) { a.Close() },
+		"after the run, its answer lost": func(a *running, r *fakes.Relay, release func()) {
+			r.Silence()
+			release()
+			Eventually(func() bool { return strings.HasPrefix(a.Abandoned(), "1 ") }, patience).Should(BeTrue())
+			a.Close()
+		},
+	}
+	for name, kill := range killed {
+		It("runs a non-repeatable request at most once and owns up when its agent is killed "+name, func() {
+			a := f.add("a1")
+			p := startPlain(a)
+			release := p.Hold()
+			defer release()
+			got := f.ask("/pay", "{}")
+			Eventually(p.Total, patience).Should(Equal(1))
+			kill(a, f.relays["a1"], release)
+			second, err := fakes.StartPlain(fakes.PlainConfig{ID: "p2", Pool: "desk", AgentURL: "http://" + f.add("a2").HTTPAddr()})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(second.Close)
+			r := receive(got)
+			Expect(r.status).To(Equal(http.StatusBadGateway), fmt.Sprint(r))
+			Expect(r.ran).To(Equal("unknown"))
+			Expect(p.Total() + second.Total()).To(Equal(1))
+		})
+	}
+
+	It("retries repeatable requests at an upstream that has not failed them", func() {
+		bad := startEngine(f.add("a1"), nil)
+		f.warm(bad, startEngine(f.add("a2"), func(c *fakes.EngineConfig) { c.ID = "e2" }))
+		bad.SetFault(fakes.Fault{Kind: fakes.FaultReset})
+		Eventually(func() int {
+			r := f.post(cleat.ChatPath, chatBody(20))
+			Expect(r.status).To(Equal(http.StatusOK), fmt.Sprint(r))
+			wholeStream([]byte(r.text), 20)
+			return bad.Stats().Canceled
+		}, patience).Should(BeNumerically(">=", 3))
+	})
+
+	It("cancels at the upstream when the caller goes away", func() {
+		engine := startEngine(f.add("a1"), slow)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.entry.Addr()+cleat.ChatPath, strings.NewReader(chatBody(100000)))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("Authorization", "Bearer "+callerKey)
+		resp, err := f.client.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		cancel()
+		Eventually(func() int { return engine.Stats().Canceled }, patience).Should(Equal(1))
+		Eventually(f.agents["a1"].Running, patience).Should(BeZero())
+	})
+
+	It("cuts no answer when an agent drains under load", func() {
+		first := startEngine(f.add("a1"), slow)
+		second := startEngine(f.add("a2"), func(c *fakes.EngineConfig) {
+			slow(c)
+			c.ID = "e2"
+		})
+		f.warm(first, second)
+		const callers = 24
+		var wg sync.WaitGroup
+		replies := make(chan reply, callers)
+		for range callers {
+			wg.Go(func() { replies <- f.post(cleat.ChatPath, chatBody(100)) })
+		}
+		Eventually(f.agents["a1"].Running, patience).Should(BeNumerically(">", 0))
+		f.agents["a1"].Drain()
+		Eventually(f.agents["a1"].ended, patience).Should(Receive(BeNil()))
+		wg.Wait()
+		close(replies)
+		for r := range replies {
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(r.status).To(Equal(http.StatusOK), fmt.Sprint(r))
+			wholeStream([]byte(r.text), 100)
+		}
+	})
+
+	It("gives an upstream that leaves no new work", func() {
+		engine := startEngine(f.add("a1"), nil)
+		f.warm(engine, startEngine(f.add("a2"), func(c *fakes.EngineConfig) { c.ID = "e2" }))
+		engine.Leave()
+		leaving := func() bool {
+			for _, u := range f.agents["a1"].Registration().Upstreams {
+				if u.Leaving {
+					return true
+				}
+			}
+			return false
+		}
+		Eventually(leaving, patience).Should(BeTrue())
+		before := engine.Stats().Started
+		for range 20 {
+			Expect(f.post(cleat.ChatPath, chatBody(1)).status).To(Equal(http.StatusOK))
+		}
+		Expect(engine.Stats().Started).To(Equal(before))
+	})
+})
--- /dev/null
+++ b/cmd/solo/solo.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"crypto/rand"
+	"fmt"
+	mathrand "math/rand"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/agent"
+	"marigoldcleat.example/cleat/ctrl"
+	"marigoldcleat.example/cleat/entry"
+	"marigoldcleat.example/cleat/fakes"
+	"marigoldcleat.example/cleat/node"
+	"marigoldcleat.example/cleat/wire"
+)
+
+const (
+	loopback      = "127.0.0.1:0"
+	domain        = cleat.DomainID("loopback")
+	keyBytes      = 32
+	engineAgents  = 2
+	tokenInterval = 15 * time.Millisecond
+	batchInterval = time.Millisecond
+	plainBusy     = 20 * time.Millisecond
+	readyTimeout  = 10 * time.Second
+	readyPoll     = 10 * time.Millisecond
+)
+
+// upstream is a stand-in upstream.
+type upstream interface {
+	Close()
+}
+
+// solo is a whole fleet in one process; it implements telem.Daemon.
+type solo struct {
+	log        *log.Logger
+	links      wire.Config
+	folder     string // Data of the control instance.
+	token      string // The fleet's first token for operators.
+	control    *ctrl.Role
+	controlEnd chan error
+	entry      *entry.Daemon
+	agents     []*agent.Agent
+	upstreams  []upstream
+}
+
+// start starts the fleet with callers served at http, as host:port.
+func start(http string, logger *log.Logger) (*solo, error) {
+	key := make([]byte, keyBytes)
+	if _, err := rand.Read(key); err != nil {
+		return nil, trace.Wrap(err, "start")
+	}
+	s := &solo{log: logger, links: wire.Config{Fleet: "solo", Key: key}}
+	if err := s.startAll(http); err != nil {
+		s.close()
+		return nil, trace.Wrap(err, "start")
+	}
+	return s, nil
+}
+
+func (s *solo) startAll(http string) error {
+	if err := s.startControl(); err != nil {
+		return err
+	}
+	if err := s.startEntry(http); err != nil {
+		return err
+	}
+	for i := range engineAgents {
+		if err := s.startEngine(i + 1); err != nil {
+			return err
+		}
+	}
+	return s.startPlain()
+}
+
+func (s *solo) peer(id string, role cleat.Role) cleat.Peer {
+	return cleat.Peer{Instance: cleat.InstanceID(id), Incarnation: cleat.NewIncarnation(time.Now()), Role: role, Domain: domain}
+}
+
+func (s *solo) startEntry(http string) error {
+	self := s.peer("entry-1", cleat.RoleEntry)
+	rnd := mathrand.New(mathrand.NewSource(int64(self.Incarnation)))
+	cfg := entry.DaemonConfig{HTTP: http, Wire: s.links, Controls: []string{s.control.Addr()}}
+	e, err := entry.NewDaemon(cfg, self, rnd, s.log.With("instance", self.Instance))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.entry = e
+	return nil
+}
+
+func (s *solo) startAgent(id string) (*agent.Agent, error) {
+	cfg := agent.Config{Peer: s.peer(id, cleat.RoleAgent), Wire: s.links, Control: node.Config{Controls: []string{s.control.Addr()}}}
+	a, err := agent.New(cfg, cleat.SystemClock{}, s.log.With("instance", id))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.agents = append(s.agents, a)
+	return a, nil
+}
+
+func (s *solo) startEngine(n int) error {
+	a, err := s.startAgent(fmt.Sprintf("agent-%d", n))
+	if err != nil {
+		return err
+	}
+	e, err := fakes.StartEngine(fakes.EngineConfig{
+		ID: cleat.UpstreamID(fmt.Sprintf("engine-%d", n)), AgentURL: "http://" + a.HTTPAddr(),
+		Models:        []cleat.ModelID{modelDrafts, modelQueries},
+		TokenInterval: tokenInterval, BatchInterval: batchInterval,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.upstreams = append(s.upstreams, e)
+	return nil
+}
+
+func (s *solo) startPlain() error {
+	a, err := s.startAgent("agent-plain")
+	if err != nil {
+		return err
+	}
+	p, err := fakes.StartPlain(fakes.PlainConfig{ID: "plain-1", Pool: poolPrint, Busy: plainBusy, AgentURL: "http://" + a.HTTPAddr()})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.upstreams = append(s.upstreams, p)
+	return nil
+}
+
+func (s *solo) addr() string { return s.entry.Addr() }
--- /dev/null
+++ b/cmd/solo/solo_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const patience = 20 * time.Second
+
+func TestSolo(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "solo")
+}
+
+var _ = Describe("solo", func() {
+	var s *solo
+	var ended chan error
+
+	BeforeEach(func() {
+		var err error
+		s, err = start(loopback, log.New(io.Discard))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(s.close)
+		started, end := s, make(chan error, 1)
+		ended = end
+		go func() { end <- started.Run() }()
+		Eventually(s.ready, patience).Should(BeTrue())
+	})
+
+	ask := func(path, body string, header ...string) (*http.Response, string) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+s.addr()+path, strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("Authorization", "Bearer "+demoKey)
+		for i := 0; i < len(header); i += 2 {
+			req.Header.Set(header[i], header[i+1])
+		}
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return resp, string(b)
+	}
+
+	It("streams a draft and runs an action once", func() {
+		resp, text := ask("/v1/chat/completions", `{"model":"catalogue","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"x"}]}`)
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(text).To(HaveSuffix("data: [DONE]\n\n"))
+		for range 3 {
+			resp, text = ask("/print-orders", "{}", "Idempotency-Key", "order-1")
+			Expect(resp.StatusCode).To(Equal(http.StatusOK), text)
+			Expect(text).To(ContainSubstring(`"runs":1`))
+		}
+	})
+
+	It("drains without cutting an answer", func() {
+		answered := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, text := ask("/v1/chat/completions", `{"model":"catalogue","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"x"}]}`)
+			answered <- text
+		}()
+		Eventually(func() int { return s.agents[0].Running() + s.agents[1].Running() }, patience).Should(Equal(1))
+		Expect(s.Abandoned()).To(ContainSubstring(string(demoWorkspace)))
+		s.Drain()
+		Eventually(answered, patience).Should(Receive(HaveSuffix("data: [DONE]\n\n")))
+		Eventually(ended, patience).Should(Receive(BeNil()))
+	})
+})
