fakes: hide closed connections while a relay is silent

Cause: "notices a silent cut from both sides" failed twice on a busy machine: when the client noticed first and closed, the relay passed that on, and the server saw a closed link instead of silence. Change: a silent relay keeps the other side open until it heals or closes.

--- a/fakes/relay.go
+++ b/fakes/relay.go
@@ -125,7 +125,6 @@
 }
 
 func (r *Relay) forward(from, to net.Conn) {
-	defer r.untrack(from, to)
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, err := from.Read(buf)
@@ -133,10 +132,17 @@
 		if mode == relayForward && n > 0 {
 			time.Sleep(delay)
 			if _, err := to.Write(buf[:n]); err != nil {
+				r.untrack(from, to)
 				return
 			}
 		}
+		if err != nil && mode == relaySilent {
+			// A silent cut hides that the other side went away, too.
+			r.untrack(from)
+			return
+		}
 		if err != nil {
+			r.untrack(from, to)
 			return
 		}
 	}
