Test an answer's buffer and the whole path at random

A state machine writes, delivers, acknowledges, cuts and resumes one answer in any order; the entry must get each byte once.

--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -48,7 +48,7 @@
 	w := cleat.Workspace{ID: "ring/desk", KeyHashes: []string{cleat.HashKey(callerKey)}}
 	w.Defaults()
 	rules := []cleat.Rule{
-		{Name: "chat", Order: 1, PathPrefix: cleat.ChatPath, Repeatable: true},
+		{Name: "chat", Order: 1, PathPrefix: cleat.ChatPath, Repeatable: true, Deadline: 15},
 		{Name: "pay", Order: 2, Method: "POST", Kind: cleat.KindPlain, Model: "desk", Deadline: 15},
 	}
 	for i := range rules {
@@ -76,8 +76,15 @@
 }
 
 // add starts an agent behind a relay.
-func (f *fleet) add(id string) *running {
-	a := startAgent(func(c *agent.Config) { c.Peer.Instance = cleat.InstanceID(id) })
+func (f *fleet) add(id string) *running { return f.addAt(id, "") }
+
+// addAt is add with a given HTTP address, for an agent's next life.
+func (f *fleet) addAt(id, http string) *running {
+	a := startAgent(func(c *agent.Config) {
+		c.Peer.Instance = cleat.InstanceID(id)
+		c.HTTP = http
+		c.ResumeGrace = 2 * resumeGrace
+	})
 	r, err := fakes.StartRelay(a.Addr())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(r.Close)
--- /dev/null
+++ b/agent/run_test.go
@@ -0,0 +1,145 @@
+package agent_test
+
+import (
+	"bytes"
+	"errors"
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/agent"
+)
+
+// tape is a link that keeps copies of parts, may double or cross them, and breaks.
+type tape struct {
+	parts []cleat.Part
+	down  bool
+}
+
+func (l *tape) Peer() cleat.Peer { return cleat.Peer{Instance: "entry1"} }
+
+func (l *tape) Send(m cleat.Message) error {
+	if l.down {
+		return errors.New("down")
+	}
+	p := *m.(*cleat.Part)
+	p.Data = bytes.Clone(p.Data)
+	l.parts = append(l.parts, p)
+	return nil
+}
+
+func (l *tape) Close() error { return nil }
+
+// machine drives one run and the entry behind it.
+type machine struct {
+	run      agent.Run
+	link     *tape
+	written  []byte
+	got      []byte
+	status   int
+	finished bool
+	ended    bool
+	acked    uint64
+}
+
+const bufferBound = 1000
+
+func (m *machine) write(t *rapid.T) {
+	if n := rapid.IntRange(0, 400).Draw(t, "bytes"); !m.finished && n <= m.run.Room() {
+		b := make([]byte, n)
+		rand.New(rand.NewSource(int64(len(m.written)))).Read(b)
+		m.written = append(m.written, b...)
+		if err := m.run.Write(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// deliver gives the entry one part, not always the next one, some of them twice.
+func (m *machine) deliver(t *rapid.T) {
+	if len(m.link.parts) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, min(2, len(m.link.parts)-1)).Draw(t, "part")
+	p := m.link.parts[i]
+	if rapid.IntRange(0, 3).Draw(t, "again") > 0 {
+		m.link.parts = append(m.link.parts[:i], m.link.parts[i+1:]...)
+	}
+	if p.Offset != uint64(len(m.got)) || m.ended {
+		return
+	}
+	m.status = max(m.status, p.Status)
+	m.got = append(m.got, p.Data...)
+	m.ended = p.End
+}
+
+func (m *machine) ack(t *rapid.T) {
+	offset := rapid.Uint64Range(0, uint64(len(m.got))).Draw(t, "offset")
+	m.acked = max(m.acked, offset)
+	if m.run.Ack(offset, m.ended && offset == uint64(len(m.got))) && !m.ended {
+		t.Fatal("settled before the entry had the whole answer")
+	}
+}
+
+func (m *machine) cut(*rapid.T) {
+	m.link.down = true
+	m.run.Detach(m.link, time.Unix(1, 0))
+}
+
+func (m *machine) resume(t *rapid.T) {
+	if m.ended {
+		return
+	}
+	m.link = &tape{}
+	if !m.run.Resume(m.link, uint64(len(m.got))) {
+		t.Fatalf("can't resume from %d, acknowledged %d", len(m.got), m.acked)
+	}
+}
+
+func (m *machine) finish(*rapid.T) {
+	if !m.finished && len(m.written) > 2000 {
+		m.finished = true
+		m.run.Finish()
+	}
+}
+
+func (m *machine) check(t *rapid.T) {
+	if m.run.Room() < 0 {
+		t.Fatal("the buffer exceeds its bound")
+	}
+	if !bytes.HasPrefix(m.written, m.got) {
+		t.Fatal("the entry has other bytes than were written")
+	}
+	if m.ended && (len(m.got) != len(m.written) || m.status != 200) {
+		t.Fatal("the answer ended before it was whole")
+	}
+}
+
+var _ = Describe("run", func() {
+	It("gives the entry every byte once, whatever is cut, crossed, doubled or resumed", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			link := &tape{}
+			m := &machine{run: agent.NewRun(link, bufferBound, time.Unix(1, 0)), link: link}
+			m.run.Start(200)
+			t.Repeat(map[string]func(*rapid.T){
+				"write": m.write, "deliver": m.deliver, "ack": m.ack, "cut": m.cut, "resume": m.resume, "finish": m.finish, "": m.check,
+			})
+			for !m.ended {
+				m.finished = true
+				m.run.Finish()
+				m.resume(t)
+				for _, p := range m.link.parts {
+					if p.Offset == uint64(len(m.got)) && !m.ended {
+						m.status, m.got, m.ended = max(m.status, p.Status), append(m.got, p.Data...), p.End
+					}
+				}
+				m.check(t)
+			}
+			Expect(m.got).To(Equal(append([]byte{}, m.written...)))
+		})
+	})
+})
--- a/fakes/plain.go
+++ b/fakes/plain.go
@@ -49,7 +49,8 @@
 
 	mu      sync.Mutex
 	faults  faults
-	runs    map[string]int
+	runs    map[string]int // By key.
+	paths   map[string]int
 	total   int
 	lookups int
 	hold    chan struct{}
@@ -61,7 +62,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, trace.Wrap(err, "StartPlain")
 	}
-	p := &Plain{cfg: cfg, runs: make(map[string]int)}
+	p := &Plain{cfg: cfg, runs: make(map[string]int), paths: make(map[string]int)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+cleat.PathUpstreamHealth, func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST /", p.action)
@@ -103,6 +104,13 @@
 	return p.runs[key]
 }
 
+// RunsAt returns how often an action at the path ran.
+func (p *Plain) RunsAt(path string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paths[path]
+}
+
 // Total returns how many actions ran.
 func (p *Plain) Total() int {
 	p.mu.Lock()
@@ -145,7 +153,7 @@
 	if key == "" {
 		key = r.Header.Get(cleat.HeaderUpstreamRequest)
 	}
-	n, hold, fault := p.ran(key)
+	n, hold, fault := p.ran(key, r.URL.Path)
 	if hold != nil {
 		<-hold
 	}
@@ -158,10 +166,11 @@
 	_, _ = fmt.Fprintf(w, "{\"ran\":%q,\"runs\":%d}\n", key, n)
 }
 
-func (p *Plain) ran(key string) (n int, hold chan struct{}, fault Fault) {
+func (p *Plain) ran(key, path string) (n int, hold chan struct{}, fault Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.runs[key]++
+	p.paths[path]++
 	p.total++
 	return p.runs[key], p.hold, p.faults.next()
 }
