--- a/agent/run_test.go
+++ b/agent/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"flag"
 	"math/rand"
 	"time"
 
@@ -120,6 +121,14 @@
 }
 
 var _ = Describe("run", func() {
+	BeforeEach(func() {
+		for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+			if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
+				Expect(f.Value.Set(value)).To(Succeed())
+			}
+		}
+	})
+
 	It("gives the entry every byte once, whatever is cut, crossed, doubled or resumed", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			link := &tape{}
