Show link traffic and slots as metrics

Utilisation and control traffic are two of the three figures that the fleet is watched by, and nothing showed them: agents now show limit and running of each upstream, entries and agents the bytes of their links, control and payload apart.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -39,6 +39,7 @@
 	server  *wire.Server
 	web     *http.Server
 	webAddr net.Listener
+	links   *telem.Links
 	gates   *orderGates
 	control *node.Client // Nil without control.
 	workers sync.WaitGroup
@@ -81,6 +82,7 @@
 		return nil, trace.Wrap(err, "New")
 	}
 	rnd := rand.New(rand.NewSource(int64(cfg.Peer.Incarnation)))
+	a.links = telem.NewLinks(a.metrics.Scope(), a.Counters())
 	a.table = slots.New(cfg.Slots, a.cfg.Peer, rnd)
 	a.connect()
 	return a, nil
--- a/agent/tick.go
+++ b/agent/tick.go
@@ -55,6 +55,20 @@
 	a.metrics.Scope().Gauge("answer_buffer_bytes").Update(float64(kept))
 	a.metrics.Scope().Gauge("links").Update(float64(a.Counters().Up()))
 	a.metrics.Scope().Gauge("links_refused").Update(float64(a.Counters().Refused()))
+	a.links.Update()
+	a.showSlots()
+}
+
+// showSlots shows how many requests each upstream admits and runs.
+func (a *Agent) showSlots() {
+	a.mu.Lock()
+	list := a.table.Upstreams()
+	a.mu.Unlock()
+	for _, u := range list {
+		scope := a.metrics.Scope().Tagged(map[string]string{"upstream": string(u.Upstream)})
+		scope.Gauge("slots_limit").Update(float64(u.Limit))
+		scope.Gauge("slots_running").Update(float64(u.Running))
+	}
 }
 
 // chargeBusy charges a plain service's request while it runs.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	flushTimeout = 5 * time.Second // For outcomes to be stored during a shutdown.
-	flushPoll    = 10 * time.Millisecond
-	dropInterval = time.Second // Between checks of links that are wanted no more.
+	flushTimeout  = 5 * time.Second // For outcomes to be stored during a shutdown.
+	flushPoll     = 10 * time.Millisecond
+	watchInterval = time.Second // Between checks of links that are wanted no more.
 )
 
 // DaemonConfig tells what an entry process connects to: control instances, or
@@ -118,8 +118,8 @@
 	var helpers sync.WaitGroup
 	if d.control != nil {
 		helpers.Go(func() { _ = d.control.Run(ctx) })
-		helpers.Go(func() { d.dropUnwanted(ctx) })
 	}
+	helpers.Go(func() { d.watch(ctx) })
 	for _, addr := range d.cfg.Agents {
 		d.dialer.Keep(addr)
 	}
@@ -185,12 +185,15 @@
 	}
 }
 
-func (d *Daemon) dropUnwanted(ctx context.Context) {
-	ticker := time.NewTicker(dropInterval)
+// watch shows the links' traffic and drops links that are wanted no more.
+func (d *Daemon) watch(ctx context.Context) {
+	traffic := telem.NewLinks(d.metrics.Scope(), d.dialer.Counters())
+	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
+			traffic.Update()
 			d.dropIdle()
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/telem/links.go
@@ -0,0 +1,56 @@
+package telem
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/wire"
+)
+
+// payloadKinds are the messages that carry callers' bytes; all others are control traffic.
+var payloadKinds = []cleat.MessageKind{cleat.KindDispatch, cleat.KindBody, cleat.KindPart}
+
+// Links shows the traffic of a process's links as gauges that only rise.
+type Links struct {
+	counters *wire.Counters
+	sent     traffic
+	received traffic
+}
+
+// traffic is one direction of the links.
+type traffic struct {
+	control tally.Gauge
+	payload tally.Gauge
+}
+
+// NewLinks returns the gauges link_bytes, by direction and content, under a role's scope.
+func NewLinks(scope tally.Scope, counters *wire.Counters) *Links {
+	return &Links{counters: counters, sent: newTraffic(scope, "sent"), received: newTraffic(scope, "received")}
+}
+
+func newTraffic(scope tally.Scope, direction string) traffic {
+	gauge := func(content string) tally.Gauge {
+		return scope.Tagged(map[string]string{"direction": direction, "content": content}).Gauge("link_bytes")
+	}
+	return traffic{control: gauge("control"), payload: gauge("payload")}
+}
+
+// Update takes over what the counters say now.
+func (l *Links) Update() {
+	l.sent.update(l.counters.Sent)
+	l.received.update(l.counters.Received)
+}
+
+func (t traffic) update(of func(cleat.MessageKind) (frames, bytes uint64)) {
+	var all, payload uint64
+	for k := cleat.KindHello; k < cleat.KindLimit; k++ {
+		_, n := of(k)
+		all += n
+	}
+	for _, k := range payloadKinds {
+		_, n := of(k)
+		payload += n
+	}
+	t.payload.Update(float64(payload))
+	t.control.Update(float64(all - payload))
+}
