admit, ledger, slots: specs of each part, and what they found; the bound on the gap

Found by the new specs and the random ledger (rapid seed 1917): a limiter that never saw first tokens in time never shrank for a queueing engine; one that did well at its limit shrank all the same because that memory faded at once; a report named a new total twice; an agent that had charged nothing never made itself known to a relay and heard no sums.

--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -15,9 +15,9 @@
 	longMeanWeight  = 0.005
 	floorShare      = 4 // The limit stays above the start limit divided by this.
 	tolerance       = 1.1
-	queueFactor     = 2.0
-	bestFading      = 0.002 // By which the best mean is forgotten in a window.
-	metFading       = 0.999
+	leastGain       = 0.96 // Of the lateness before, that shrinking must reach to be kept.
+	metLife         = 10 * time.Minute
+	maxHold         = 10 * time.Minute
 )
 
 // window is what was seen since the last decision.
@@ -27,28 +27,37 @@
 	missed  int // Busy times of a plain service far over their mean.
 	tokens  uint64
 	elapsed time.Duration // Over which the tokens came, summed over requests.
-	firsts  int
-	first   time.Duration // Sum of the times to first token.
 	full    bool          // The limit was reached.
 }
 
+// firstTokens gathers times to first token until there are enough to judge.
+type firstTokens struct {
+	n    int
+	sum  time.Duration
+	mean float64 // Of the last that were enough, in seconds.
+}
+
 // Limiter holds one upstream's concurrency limit; it is not safe for concurrent use.
 type Limiter struct {
-	cfg       Config
-	kind      cleat.UpstreamKind
-	start     float64
-	limit     float64
-	met       float64 // Largest limit at which the targets were met.
-	win       window
-	first     float64   // Mean time to first token, in seconds.
-	bestFirst float64   // Least mean of a window, fading upwards.
-	gap       float64   // Mean time between tokens, in seconds.
-	heldTill  time.Time // No shrinking before, since it did not help.
-	busy      float64
-	longBusy  float64
-	failures  int
-	pause     time.Duration
-	retryAt   time.Time // Zero while the upstream is healthy.
+	cfg      Config
+	kind     cleat.UpstreamKind
+	start    float64
+	limit    float64
+	met      float64 // Largest limit at which the targets were met.
+	metAt    time.Time
+	win      window
+	firsts   firstTokens
+	before   float64 // How late the window before the last shrinking was.
+	from     float64 // The limit before the last shrinking.
+	hold     time.Duration
+	first    float64   // Mean time to first token, in seconds.
+	gap      float64   // Mean time between tokens, in seconds.
+	heldTill time.Time // No shrinking before, since it did not help.
+	busy     float64
+	longBusy float64
+	failures int
+	pause    time.Duration
+	retryAt  time.Time // Zero while the upstream is healthy.
 }
 
 // New returns the limiter of an upstream whose announcement hints at slots.
@@ -91,8 +100,7 @@
 // FirstToken notes the time from dispatch to the first token.
 func (l *Limiter) FirstToken(now time.Time, d time.Duration) {
 	l.first = mean(l.first, d.Seconds(), meanWeight)
-	l.win.firsts++
-	l.win.first += d
+	l.firsts.add(d, l.cfg.MinSamples)
 	l.sample(now, false)
 }
 
@@ -147,51 +155,69 @@
 
 // decide moves the limit at the end of a window.
 func (l *Limiter) decide(now time.Time) {
+	late := l.lateness()
 	switch {
-	case !l.late():
-		l.met = max(l.met, min(l.limit, l.start))
-		if l.win.full {
-			l.limit = min(l.start, l.limit+1)
-		}
+	case late <= 1:
+		l.meet(now)
 	case now.Before(l.heldTill):
-	case l.limit <= l.met:
+	case l.limit <= l.met && now.Sub(l.metAt) < metLife:
 		// The targets were met at this limit before, so that the upstream is
 		// slow for another reason and fewer requests would only waste it.
-		l.heldTill = now.Add(l.cfg.HoldTime)
+	case l.from > 0 && late > leastGain*l.before:
+		l.restore(now)
 	case l.limit <= l.floor():
-		l.limit = max(l.start, 1)
-		l.heldTill = now.Add(l.cfg.HoldTime)
+		l.restore(now)
 	default:
+		l.before, l.from = late, l.limit
 		l.limit = max(l.floor(), l.limit*shrinkFactor)
+		l.firsts = firstTokens{}
+	}
+}
+
+// meet grows the limit after a window that met the targets with no slot free.
+func (l *Limiter) meet(now time.Time) {
+	if l.limit >= l.met {
+		l.met, l.metAt = l.limit, now
+	}
+	l.before, l.from, l.hold = 0, 0, 0
+	if l.win.full {
+		l.limit = min(l.start, l.limit+1)
 	}
-	l.met *= metFading
 }
 
-// late reports whether the window missed a target in a way that fewer requests
-// may mend.
-func (l *Limiter) late() bool {
+// restore takes shrinking back that did not help, and leaves the limit alone
+// for twice as long each time.
+func (l *Limiter) restore(now time.Time) {
+	l.limit = max(l.limit, l.from)
+	if l.limit <= l.floor() {
+		l.limit = l.start
+	}
+	l.before, l.from = 0, 0
+	l.hold = min(max(2*l.hold, l.cfg.HoldTime), maxHold)
+	l.heldTill = now.Add(l.hold)
+}
+
+// lateness returns the window's worst mean against its target; above one it
+// missed the target.
+func (l *Limiter) lateness() float64 {
 	w := &l.win
 	if l.kind == cleat.KindPlain {
-		return float64(w.missed) > l.cfg.MissedShare*float64(w.samples)
+		return float64(w.missed) / (l.cfg.MissedShare * float64(w.samples))
 	}
-	if w.tokens > 0 && w.elapsed.Seconds()/float64(w.tokens) > tolerance*l.cfg.TokenGapTarget.Seconds() {
-		return true
+	late := l.firsts.mean / l.cfg.FirstTokenTarget.Seconds()
+	if w.tokens > 0 {
+		late = max(late, w.elapsed.Seconds()/float64(w.tokens)/(tolerance*l.cfg.TokenGapTarget.Seconds()))
 	}
-	return l.queues()
+	return late
 }
 
-// queues reports whether first tokens are late and far later than they were:
-// long prompts alone make them late, but not later than before.
-func (l *Limiter) queues() bool {
-	if l.win.firsts == 0 {
-		return false
-	}
-	m := l.win.first.Seconds() / float64(l.win.firsts)
-	if l.bestFirst == 0 || m < l.bestFirst {
-		l.bestFirst = m
+func (f *firstTokens) add(d time.Duration, enough int) {
+	f.n++
+	f.sum += d
+	if f.n >= enough {
+		f.mean = f.sum.Seconds() / float64(f.n)
+		f.n, f.sum = 0, 0
 	}
-	l.bestFirst *= 1 + bestFading
-	return m > l.cfg.FirstTokenTarget.Seconds() && m > queueFactor*l.bestFirst
 }
 
 func (l *Limiter) floor() float64 {
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -80,9 +80,10 @@
 	heardAt  time.Time
 }
 
-// NewBook returns an empty book of an agent.
+// NewBook returns an empty book of an agent, whose first report names it to a
+// relay even when it is empty.
 func NewBook(self cleat.Peer) *Book {
-	return &Book{self: self, accounts: map[cleat.WorkspaceID]*Account{}}
+	return &Book{self: self, accounts: map[cleat.WorkspaceID]*Account{}, whole: true}
 }
 
 // Account returns the workspace's account, made when absent.
@@ -170,7 +171,7 @@
 			kept = append(kept, a)
 			continue
 		}
-		a.changed = false
+		a.changed, a.at = false, now
 		b.list = append(b.list, a)
 	}
 	b.changed = kept
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,218 @@
+package ledger_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/ledger"
+)
+
+var start = time.Unix(1e9, 0)
+
+func report(agent string, life cleat.Incarnation, seq uint64, totals ...cleat.WorkspaceTotal) *cleat.LedgerReport {
+	return &cleat.LedgerReport{Agent: cleat.InstanceID(agent), Incarnation: life, Seq: seq, Totals: totals}
+}
+
+func total(w string, service, flying float64) cleat.WorkspaceTotal {
+	return cleat.WorkspaceTotal{Workspace: cleat.WorkspaceID(w), Service: service, Flying: flying}
+}
+
+func newRelay(life cleat.Incarnation) *ledger.Relay {
+	return ledger.NewRelay(cleat.Peer{Instance: "ctrl", Incarnation: life})
+}
+
+var _ = Describe("Relay", func() {
+	It("counts doubled, late and reordered reports once", func() {
+		r := newRelay(1)
+		Expect(r.Report(start, report("a", 5, 1, total("w", 100, 10)))).To(BeTrue())
+		Expect(r.Report(start, report("a", 5, 2, total("w", 150, 0)))).To(BeTrue())
+		Expect(r.Report(start, report("a", 5, 2, total("w", 150, 0)))).To(BeFalse())
+		Expect(r.Report(start, report("a", 5, 1, total("w", 100, 10)))).To(BeFalse())
+		Expect(r.Total("w")).To(Equal(total("w", 150, 0)))
+	})
+
+	It("keeps what earlier lives of an agent served and drops what they ran", func() {
+		r := newRelay(1)
+		r.Report(start, report("a", 5, 1, total("w", 100, 40)))
+		r.Report(start, report("a", 6, 1, total("w", 30, 7)))
+		Expect(r.Total("w")).To(Equal(total("w", 130, 7)))
+		r.Forget(start.Add(ledger.FoldAfter + time.Minute))
+		r.Report(start.Add(ledger.FoldAfter+time.Minute), report("a", 5, 2, total("w", 999, 0)))
+		Expect(r.Total("w").Service).To(Equal(130.0))
+	})
+
+	It("does not count what a silent agent ran for ever", func() {
+		r := newRelay(1)
+		r.Report(start, report("a", 5, 1, total("w", 100, 40)))
+		Expect(r.Sums(start, "b").Totals[0].Flying).To(Equal(40.0))
+		m := r.Sums(start.Add(ledger.FlightBound+ledger.RefreshInterval), "b")
+		Expect(m.Totals[0].Flying).To(Equal(0.0))
+	})
+
+	It("asks for the whole after a gap", func() {
+		r := newRelay(1)
+		r.Report(start, report("a", 5, 1, total("w", 100, 0)))
+		Expect(r.Sums(start, "a").Seen).To(Equal(uint64(1)))
+		r.Report(start, report("a", 5, 3, total("w", 200, 0)))
+		Expect(r.Sums(start, "a").Seen).To(BeZero())
+	})
+
+	It("tells the new life of an agent all that it told the old", func() {
+		r := newRelay(1)
+		r.Report(start, report("b", 5, 1, total("w", 1000, 0)))
+		r.Report(start, report("a", 5, 1, total("x", 1, 0)))
+		Expect(r.Sums(start, "a").Totals).To(ContainElement(total("w", 1000, 0)))
+		r.Report(start, report("a", 6, 1, total("x", 1, 0)))
+		m := r.Sums(start, "a")
+		Expect(m.Whole).To(BeTrue())
+		Expect(m.Totals).To(ContainElement(total("w", 1000, 0)))
+	})
+
+	It("takes over from agents what it lost, and counts none of it twice", func() {
+		r := newRelay(100)
+		whole := report("a", 5, 9, cleat.WorkspaceTotal{Workspace: "w", Service: 300, Known: 700})
+		whole.Whole = true
+		r.Report(start, whole)
+		Expect(r.Total("w").Service).To(Equal(1000.0))
+		r.Report(start.Add(time.Second), report("b", 6, 4, total("w", 500, 0)))
+		Expect(r.Total("w").Service).To(Equal(1000.0))
+		r.Report(start.Add(2*time.Second), report("b", 6, 5, total("w", 550, 0)))
+		Expect(r.Total("w").Service).To(Equal(1050.0))
+		r.Report(start.Add(3*time.Second), report("c", 200, 1, total("w", 10, 0)))
+		Expect(r.Total("w").Service).To(Equal(1060.0))
+	})
+
+	It("passes all on to a relay that comes up, which merges it as often as it is sent", func() {
+		r, other := newRelay(1), newRelay(2)
+		r.Report(start, report("a", 5, 1, total("w", 100, 0)))
+		r.Report(start, report("b", 5, 1, total("w", 50, 0)))
+		for range 2 {
+			for _, m := range r.Whole() {
+				other.Report(start, m)
+			}
+		}
+		Expect(other.Total("w").Service).To(Equal(150.0))
+	})
+})
+
+var _ = Describe("Book", func() {
+	It("reports small changes late and large ones at once", func() {
+		b := ledger.NewBook(cleat.Peer{Instance: "a", Incarnation: 5})
+		a := b.Account("w")
+		b.Charge(a, 500)
+		Expect(b.Report(start).Totals).To(HaveLen(1))
+		b.Charge(a, 1)
+		Expect(b.Report(start.Add(2 * time.Second))).To(BeNil())
+		Expect(b.Report(start.Add(ledger.RefreshInterval)).Totals[0].Service).To(Equal(501.0))
+		b.Expect(a, 400)
+		Expect(b.Report(start.Add(ledger.RefreshInterval + time.Second)).Totals[0].Flying).To(Equal(400.0))
+	})
+
+	It("is ready only after whole sums without a gap", func() {
+		b := ledger.NewBook(cleat.Peer{Instance: "a", Incarnation: 5})
+		b.Sums(start, &cleat.LedgerSums{Relay: "r", Incarnation: 1, Seq: 1, Seen: 1, Whole: true})
+		b.Sums(start, &cleat.LedgerSums{Relay: "r", Incarnation: 1, Seq: 3, Seen: 1, Ready: true})
+		Expect(b.Ready()).To(BeFalse())
+		b.Sums(start, &cleat.LedgerSums{Relay: "r", Incarnation: 1, Seq: 4, Seen: 1, Whole: true, Ready: true})
+		Expect(b.Ready()).To(BeTrue())
+	})
+})
+
+// TestRandomLedger lets agents and relays restart and lose, double and delay
+// reports, and checks that no total is above the truth, falls at an agent, or
+// stays below the truth once all have spoken.
+func TestRandomLedger(t *testing.T) {
+	restore := assert.SetHook(func(name, msg string) { panic(name + ": " + msg) })
+	defer restore()
+	if err := flag.Set("rapid.seed", "1917"); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, randomLedger)
+}
+
+func randomLedger(t *rapid.T) {
+	const agents = 3
+	now, life := start, cleat.Incarnation(10)
+	relays := []*ledger.Relay{newRelay(1), newRelay(2)}
+	books := make([]*ledger.Book, agents)
+	truth, spoken, seen := 0.0, make([]float64, agents), make([]float64, agents)
+	peer := func(i int) cleat.Peer {
+		life++
+		return cleat.Peer{Instance: cleat.InstanceID(fmt.Sprint("a", i)), Incarnation: life}
+	}
+	for i := range books {
+		books[i] = ledger.NewBook(peer(i))
+	}
+	var late []*cleat.LedgerReport
+	speak := func(i int, lost bool) {
+		now = now.Add(ledger.RefreshInterval)
+		m := books[i].Report(now)
+		if lost {
+			return
+		}
+		if m != nil {
+			spoken[i] = books[i].Account("w").Own()
+			late = append(late, m)
+			for _, r := range relays {
+				r.Report(now, m)
+			}
+		}
+		if s := relays[i%2].Sums(now, peerName(i)); s != nil {
+			s.Relay = cleat.InstanceID(fmt.Sprint("r", i%2))
+			books[i].Sums(now, s)
+		}
+	}
+	check := func() {
+		for i, b := range books {
+			v := b.Account("w").Received()
+			if v > truth+1e-6 || v < seen[i] {
+				t.Fatalf("agent %d sees %v, saw %v, true %v", i, v, seen[i], truth)
+			}
+			seen[i] = v
+		}
+	}
+	pick := func() int { return rapid.IntRange(0, agents-1).Draw(t, "agent") }
+	t.Repeat(map[string]func(*rapid.T){
+		"": func(*rapid.T) { check() },
+		"charge": func(t *rapid.T) {
+			n := float64(rapid.IntRange(1, 3000).Draw(t, "units"))
+			b := books[pick()]
+			b.Charge(b.Account("w"), n)
+			truth += n
+		},
+		"speak": func(*rapid.T) { speak(pick(), false) },
+		"lose":  func(*rapid.T) { speak(pick(), true) },
+		"again": func(t *rapid.T) {
+			if len(late) > 0 {
+				relays[rapid.IntRange(0, 1).Draw(t, "relay")].Report(now, rapid.SampledFrom(late).Draw(t, "report"))
+			}
+		},
+		"agent": func(*rapid.T) {
+			i := pick()
+			truth -= books[i].Account("w").Own() - spoken[i] // Lost beyond the last report.
+			books[i], spoken[i], seen[i] = ledger.NewBook(peer(i)), 0, 0
+		},
+	})
+	for range 8 {
+		for i := range books {
+			speak(i, false)
+		}
+		check()
+	}
+	for i, b := range books {
+		if v := b.Account("w").Received(); math.Abs(v-truth) > ledger.SumsQuantum+agents {
+			t.Fatalf("agent %d sees %v at the end, true %v", i, v, truth)
+		}
+	}
+}
+
+func peerName(i int) cleat.InstanceID { return cleat.InstanceID(fmt.Sprint("a", i)) }
--- a/slots/flow.go
+++ b/slots/flow.go
@@ -250,6 +250,37 @@
 	}
 }
 
+// gapCheckEvery is the number of grants between two searches for a workspace
+// that should have gone first.
+const gapCheckEvery = 1024
+
+// checkGap asserts that a workspace which is about to get a slot leads none that
+// waits for it by more than the class credit: the step from which the bound on
+// the gap is derived.
+func (t *Table) checkGap(u *upstream, f *flow) {
+	lead := f.virtual() - float64(t.cfg.ClassCredit)
+	for _, other := range t.flowOrder {
+		if f.starved || other.virtual() >= lead-slackUnits || !other.waitsFor(u) {
+			continue
+		}
+		assert.Fail("gap-bound", "%s is picked at %v while %s waits at %v", f.id, f.virtual(), other.id, other.virtual())
+	}
+}
+
+// slackUnits allows for rounding in comparisons of virtual service.
+const slackUnits = 1e-3
+
+func (f *flow) waitsFor(u *upstream) bool {
+	for _, l := range f.lanes {
+		for _, model := range u.models {
+			if l.item.Queued() && l.key == (poolKey{u.kind, model}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func near(a, b float64) bool {
 	return math.Abs(a-b) <= 1e-3+1e-9*math.Abs(a)
 }
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -76,6 +76,9 @@
 
 func (t *Table) lend(now time.Time, u *upstream, o *offer) {
 	f := o.lane.flow
+	if t.lastGrant%gapCheckEvery == 0 {
+		t.checkGap(u, f)
+	}
 	f.starved, f.servedAt = false, now
 	t.lastGrant++
 	g := &grant{
