--- a/slots/table_test.go
+++ b/slots/table_test.go
@@ -128,7 +128,7 @@
 		b.table.CacheEvent(b.now, cleat.CacheEvent{Upstream: "u", Seq: 1, Added: []uint64{1, 2}})
 		b.table.CacheEvent(b.now, cleat.CacheEvent{Upstream: "u", Seq: 3, Added: []uint64{9}})
 		e := b.table.EntryUp(b.now, cleat.Peer{Instance: "other", Incarnation: 1})
-		Expect(e.Sends[0].Message.(*cleat.AgentState).Upstreams[0].Prefixes).To(Equal([]uint64{9}))
+		Expect(e.Sends[0].Message.(*cleat.AgentState).Upstreams[0].Prefixes).To(Equal([]uint32{9}))
 	})
 
 	It("lets a workspace go first once that got no service for long", func() {
