Leave an upstream alone that accepts no connections

Cause: an attempt that had no connection is not run and so costs nobody anything; an upstream that announced an address where nothing listens looked idle for ever and drew every request once. Change: an attempt that was not run, or whose fate is unknown, for the upstream's fault counts as its failure; a deadline that passed does not.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -253,19 +253,23 @@
 		a := startAgent(func(c *agent.Config) { c.Slots.UpstreamTimeout = 500 * time.Millisecond })
 		engine := startEngine(a, nil)
 		e := startEntry(a, 1)
-		upstreams := func() []cleat.UpstreamState {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			if e.state == nil {
-				return nil
-			}
-			return e.state.Upstreams
-		}
-		Eventually(upstreams, patience).Should(ConsistOf(HaveField("Leaving", false)))
+		Eventually(e.upstreams, patience).Should(ConsistOf(HaveField("Leaving", false)))
 		engine.Leave()
-		Eventually(upstreams, patience).Should(ConsistOf(HaveField("Leaving", true)))
+		Eventually(e.upstreams, patience).Should(ConsistOf(HaveField("Leaving", true)))
 		engine.Close()
-		Eventually(upstreams, patience).Should(BeEmpty())
+		Eventually(e.upstreams, patience).Should(BeEmpty())
+	})
+
+	It("leaves an upstream alone that accepts no connections", func() {
+		a := startAgent(nil)
+		Expect(a.Announce(cleat.Announcement{Upstream: "p1", Kind: cleat.KindPlain, Models: []cleat.ModelID{"desk"}, Address: closedAddress()})).To(Succeed())
+		e := startEntry(a, 1)
+		for i := range 3 {
+			attempt := e.dispatch(fmt.Sprint("r", i), plainStream(), action)
+			Eventually(e.over(attempt), patience).Should(BeTrue())
+			Expect(e.got(attempt).outcome.Kind).To(Equal(cleat.OutcomeNotRun))
+		}
+		Eventually(e.upstreams, patience).Should(ConsistOf(HaveField("Slow", true)))
 	})
 
 	It("refuses links from anyone but entries", func() {
--- a/agent/engine_test.go
+++ b/agent/engine_test.go
@@ -36,6 +36,14 @@
 
 func (c *collector) Used(u cleat.Usage) { c.used = u }
 
+// closedAddress returns an address on which nothing listens.
+func closedAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(l.Close()).To(Succeed())
+	return l.Addr().String()
+}
+
 const (
 	shortStall = 300 * time.Millisecond
 	orderTime  = 5 * time.Second
@@ -128,10 +136,7 @@
 	refused := map[string]cleat.Call{"a model call": modelCall(1), "an action": plainCall()}
 	for name, call := range refused {
 		It("says that "+name+" was not run when no connection was had", func() {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			Expect(err).NotTo(HaveOccurred())
-			Expect(l.Close()).To(Succeed())
-			o := client(cleat.Announcement{Address: l.Addr().String()}).Run(ctx, call, &collector{})
+			o := client(cleat.Announcement{Address: closedAddress()}).Run(ctx, call, &collector{})
 			Expect(o.Kind).To(Equal(cleat.OutcomeNotRun))
 			Expect(o.Usage).To(BeZero())
 		})
--- a/agent/suite_test.go
+++ b/agent/suite_test.go
@@ -124,6 +124,16 @@
 	}
 }
 
+// upstreams returns what the agent last told of its upstreams.
+func (e *entry) upstreams() []cleat.UpstreamState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state == nil {
+		return nil
+	}
+	return e.state.Upstreams
+}
+
 func (e *entry) closed() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/slots/run.go
+++ b/slots/run.go
@@ -152,11 +152,11 @@
 	if u.running < 0 || r.flow.running < 0 {
 		assert.Fail("slot-granted-once", "%s runs %d, %s runs %d", u.id, u.running, r.flow.id, r.flow.running)
 	}
-	switch o.Kind {
-	case cleat.OutcomeDone:
+	switch {
+	case o.Kind == cleat.OutcomeDone:
 		r.flow.served++
 		u.limiter.Done(now, now.Sub(r.started))
-	case cleat.OutcomeFailed:
+	case blamed(o):
 		u.limiter.Failed(now)
 	}
 	if u.gone && u.running == 0 {
@@ -167,3 +167,12 @@
 func refused(a cleat.Attempt, ran cleat.Ran) *cleat.Refused {
 	return &cleat.Refused{Attempt: a, Reason: cleat.ReasonStaleGrant, Ran: ran}
 }
+
+// blamed reports whether an outcome is the upstream's failure: it also is one
+// when no connection to it was had, but not when the caller's time ran out.
+func blamed(o cleat.Outcome) bool {
+	if o.Kind == cleat.OutcomeFailed {
+		return o.Reason != cleat.ReasonDeadline
+	}
+	return o.Reason == cleat.ReasonUpstream
+}
