--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -76,6 +76,48 @@
 		Expect(got.body).To(Equal("done"))
 	})
 
+	It("dispatches again, with the whole body, what broke off before its end", func() {
+		r := newRig(func(cfg *entry.Config, _ *cleat.Limits) { cfg.Queue.ResumeGrace = time.Minute })
+		a := r.link(nil)
+		a.mu.Lock()
+		a.cutAfter = 1
+		a.mu.Unlock()
+		body := strings.Repeat("x", 40*wire.MaxDataBytes)
+		res := r.doAsync(r.request("POST", "/pay", body, "Idempotency-Key", "k"))
+		Eventually(func() bool { ok, _ := r.entry.Ready(); return ok }, patience).Should(BeFalse())
+		a.connect(r.entry)
+		Eventually(func() []*cleat.Dispatch { return messages[*cleat.Dispatch](a) }, patience).Should(HaveLen(2))
+		second := messages[*cleat.Dispatch](a)[1].Attempt
+		Eventually(func() (n int) {
+			for _, b := range messages[*cleat.Body](a) {
+				if b.Attempt == second {
+					n += len(b.Data)
+				}
+			}
+			return n
+		}, patience).Should(Equal(39 * wire.MaxDataBytes))
+		answers("paid")(a, &cleat.Dispatch{Attempt: second})
+		var got result
+		Eventually(res, patience).Should(Receive(&got))
+		Expect(got.body).To(Equal("paid"))
+		Expect(r.claims.recorded()).To(Equal([]cleat.OutcomeKind{cleat.OutcomeDone}))
+	})
+
+	It("dispatches again what an agent refused unrun", func() {
+		r := newRig()
+		a := r.link(func(a *agent, d *cleat.Dispatch) {
+			if d.Attempt.Number == 1 {
+				a.send(&cleat.Refused{Attempt: d.Attempt, Reason: cleat.ReasonStaleGrant, Ran: cleat.RanNo})
+				return
+			}
+			answers("paid")(a, d)
+		})
+		res, body := r.do(r.request("POST", "/pay", "x"))
+		Expect(res.StatusCode).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("paid"))
+		Expect(messages[*cleat.Dispatch](a)).To(HaveLen(2))
+	})
+
 	It("puts crossed, doubled and late parts right", func() {
 		r := newRig()
 		a := r.link(func(a *agent, d *cleat.Dispatch) {
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -177,6 +177,7 @@
 	idle     bool // Grants nothing.
 	received []cleat.Message
 	acked    uint64
+	cutAfter int         // Pieces of a body after which it cuts the link, once.
 	resumed  chan uint64 // Offsets asked for, when set.
 }
 
@@ -234,6 +235,14 @@
 		if !idle {
 			a.grant(m)
 		}
+	case *cleat.Body:
+		a.mu.Lock()
+		a.cutAfter--
+		cut := a.cutAfter == 0
+		a.mu.Unlock()
+		if cut {
+			a.cut()
+		}
 	case *cleat.Resume:
 		if a.resumed != nil {
 			a.resumed <- m.Offset
