--- a/cmd/gauge/main.go
+++ b/cmd/gauge/main.go
@@ -25,6 +25,7 @@
 	registerCost(app)
 	registerState(app)
 	registerSoak(app)
+	registerPath(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		app.FatalIfError(err, "")
 	}
--- a/slots/flow.go
+++ b/slots/flow.go
@@ -191,7 +191,7 @@
 	if !t.book.Ready() && now.Sub(t.started) < t.cfg.AloneAfter {
 		return
 	}
-	floor := t.lastV
+	floor := t.level
 	if least := t.backlog.Min(); least != nil {
 		floor = least.Key()
 	}
@@ -208,6 +208,7 @@
 		return
 	}
 	t.auditAt = now
+	t.findLevel(now)
 	for _, f := range t.flowOrder {
 		if f.item.Queued() && !f.starved && now.Sub(f.servedAt) > t.cfg.StarveAfter {
 			f.starved = true
@@ -216,6 +217,24 @@
 	}
 }
 
+// findLevel finds what a workspace is raised to that returns while nothing
+// waits here: the least that any workspace received which is being served. The
+// most would do no harm with true totals, but spreads one that is wrong.
+func (t *Table) findLevel(now time.Time) {
+	least := math.Inf(1)
+	for _, f := range t.flowOrder {
+		if now.Sub(f.servedAt) <= levelWindow {
+			least = min(least, f.account.Received())
+		}
+	}
+	if !math.IsInf(least, 1) {
+		t.level = max(t.level, least)
+	}
+}
+
+// levelWindow is how lately a workspace was served to count for the level.
+const levelWindow = 3 * time.Second
+
 // auditInterval is the time between two searches for starved workspaces.
 const auditInterval = time.Second
 
@@ -231,6 +250,37 @@
 	}
 }
 
+// gapCheckEvery is the number of grants between two searches for a workspace
+// that should have gone first.
+const gapCheckEvery = 1024
+
+// checkGap asserts that a workspace which is about to get a slot leads none that
+// waits for it by more than the class credit: the step from which the bound on
+// the gap is derived.
+func (t *Table) checkGap(u *upstream, f *flow) {
+	lead := f.virtual() - float64(t.cfg.ClassCredit)
+	for _, other := range t.flowOrder {
+		if f.starved || other.virtual() >= lead-slackUnits || !other.waitsFor(u) {
+			continue
+		}
+		assert.Fail("gap-bound", "%s is picked at %v while %s waits at %v", f.id, f.virtual(), other.id, other.virtual())
+	}
+}
+
+// slackUnits allows for rounding in comparisons of virtual service.
+const slackUnits = 1e-3
+
+func (f *flow) waitsFor(u *upstream) bool {
+	for _, l := range f.lanes {
+		for _, model := range u.models {
+			if l.item.Queued() && l.key == (poolKey{u.kind, model}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func near(a, b float64) bool {
 	return math.Abs(a-b) <= 1e-3+1e-9*math.Abs(a)
 }
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -76,8 +76,8 @@
 
 func (t *Table) lend(now time.Time, u *upstream, o *offer) {
 	f := o.lane.flow
-	if !f.starved {
-		t.lastV = f.account.Received()
+	if t.lastGrant%gapCheckEvery == 0 {
+		t.checkGap(u, f)
 	}
 	f.starved, f.servedAt = false, now
 	t.lastGrant++
