--- a/cmd/gauge/state.go
+++ b/cmd/gauge/state.go
@@ -34,7 +34,7 @@
 	losses        = 100
 	idleTime      = time.Minute
 	leaderTimeout = 30 * time.Second
-	settleTime    = 2 * time.Second
+	steadyTime    = 2 * time.Second
 	changeGap     = 20 * time.Millisecond
 	gapSpread     = 7 // Prime, so that proposals meet heartbeats at all phases.
 )
@@ -120,7 +120,7 @@
 	if leader == nil {
 		return nil, nil, trace.CompareFailed("seed %d: no leader within %s", seed, leaderTimeout)
 	}
-	cl.Run(settleTime)
+	cl.Run(steadyTime)
 	return cl, leader, nil
 }
 
@@ -163,7 +163,7 @@
 		})
 		cl.Run(time.Duration(rnd.ExpFloat64() / loadedRate * float64(time.Second)))
 	}
-	cl.Run(settleTime)
+	cl.Run(steadyTime)
 	return times, trace.Wrap(failed)
 }
 
