ledger: rarer and coarser totals in larger fleets; shorter agent states

Change: relays tell how many agents they hear; above 20 agents the interval and both quanta rise with them, at most sixfold. A state names the 8 newest digests (was 32) and leaves at most each 150 ms (was 100). Ruled out for now: a share of the ledger for each control instance, by workspace, which ends the forwarding between them and is what the planned size needs.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -17,6 +17,8 @@
 	SumsQuantum     = 50.0 // Cost units for one share.
 	RefreshInterval = 10 * time.Second
 	RepeatInterval  = 30 * time.Second // After which unchanged totals are reported again.
+	smallFleet      = 20               // Agents up to which reports go out at ReportInterval.
+	maxScale        = 6                // Of the interval and the quanta in larger fleets.
 	repeatStep      = 16               // Accounts looked at for that in one report.
 )
 
@@ -78,6 +80,7 @@
 	ready    bool
 	unbroken bool // No sums of the relay were missed since its last whole ones.
 	heardAt  time.Time
+	agents   uint32 // In the fleet, as last heard.
 }
 
 // NewBook returns an empty book of an agent, whose first report names it to a
@@ -136,7 +139,7 @@
 
 // Report returns what changed since the last report, or nil.
 func (b *Book) Report(now time.Time) *cleat.LedgerReport {
-	if now.Sub(b.reportAt) < ReportInterval-reportSlack && !b.whole {
+	if now.Sub(b.reportAt) < time.Duration(scale(b.agents)*float64(ReportInterval))-reportSlack && !b.whole {
 		return nil
 	}
 	list := b.due(now)
@@ -167,7 +170,7 @@
 	b.list = b.list[:0]
 	kept := b.changed[:0]
 	for _, a := range b.changed {
-		if !a.due(now) {
+		if !a.due(now, ReportQuantum*scale(b.agents)) {
 			kept = append(kept, a)
 			continue
 		}
@@ -192,9 +195,9 @@
 }
 
 // due reports whether the account moved enough, or long ago.
-func (a *Account) due(now time.Time) bool {
+func (a *Account) due(now time.Time, quantum float64) bool {
 	moved := math.Abs(a.service + a.flying - a.reported.service - a.reported.flying)
-	return moved >= ReportQuantum || a.lift != a.liftTold || now.Sub(a.at) >= RefreshInterval
+	return moved >= quantum || a.lift != a.liftTold || now.Sub(a.at) >= RefreshInterval
 }
 
 // Sums takes in the fleet's sums and returns the accounts that they moved; the
@@ -205,6 +208,7 @@
 		return nil
 	}
 	b.heardAt = now
+	b.agents = m.Agents
 	for i := range m.Totals {
 		a := b.Account(m.Totals[i].Workspace)
 		if a.merge(&m.Totals[i]) {
@@ -281,6 +285,12 @@
 	return a.Virtual() != before
 }
 
+// scale is how much rarer and coarser reports are in a fleet of n agents, so that
+// what each instance sends and hears stays nearly the same.
+func scale(n uint32) float64 {
+	return min(max(1, float64(n)/smallFleet), maxScale)
+}
+
 // slack allows for the rounding of long sums.
 func slack(total float64) float64 {
 	return 1e-6 + total*1e-9
--- a/ledger/relay.go
+++ b/ledger/relay.go
@@ -43,6 +43,7 @@
 	next   int // Workspace to go on with.
 	ackDue bool
 	ready  bool
+	sentAt time.Time
 	whole  bool // The next sums are the first since all was forgotten.
 }
 
@@ -125,6 +126,9 @@
 	if own != nil && own.gap {
 		f.ackDue = true
 	}
+	if now.Sub(f.sentAt) < time.Duration(scale(r.agents())*float64(ReportInterval))-reportSlack && !f.ackDue && !f.whole {
+		return nil
+	}
 	totals := r.changed(now, f, own)
 	ready := len(totals) < MaxSumsTotals && now.Sub(r.started) > AdoptWindow && !r.started.IsZero()
 	if len(totals) == 0 && !f.ackDue && ready == f.ready {
@@ -134,9 +138,9 @@
 	f.ackDue, f.ready = false, ready
 	m := &cleat.LedgerSums{
 		Relay: r.self.Instance, Incarnation: r.self.Incarnation,
-		Seq: f.seq, Whole: f.whole, Ready: ready, Totals: totals,
+		Seq: f.seq, Whole: f.whole, Ready: ready, Agents: r.agents(), Totals: totals,
 	}
-	f.whole = false
+	f.whole, f.sentAt = false, now
 	if own != nil && !own.gap {
 		m.Seen = own.seq
 	}
@@ -298,7 +302,7 @@
 		c := r.others(i, own)
 		moved := math.Abs(c.service + c.flying - f.sent[i].service - f.sent[i].flying)
 		late := moved > 0 && now.Sub(f.at[i]) >= RefreshInterval
-		if moved < SumsQuantum && r.lifts[i] == f.lifts[i] && !late {
+		if moved < SumsQuantum*scale(r.agents()) && r.lifts[i] == f.lifts[i] && !late {
 			continue
 		}
 		t := cleat.WorkspaceTotal{Workspace: r.names[i], Service: c.service, Flying: c.flying}
@@ -311,6 +315,9 @@
 	return totals
 }
 
+// agents returns how many agents reported here, through other relays included.
+func (r *Relay) agents() uint32 { return uint32(len(r.order)) }
+
 func (r *Relay) others(i int, own *row) cell {
 	c := cell{service: r.sums[i].service + r.base[i], flying: max(0, r.sums[i].flying)}
 	if own != nil && i < len(own.cells) {
--- a/message.go
+++ b/message.go
@@ -222,5 +222,6 @@
 	Seen        uint64           `msgpack:"s"`
 	Whole       bool             `msgpack:"w,omitempty"`
 	Ready       bool             `msgpack:"y,omitempty"` // The relay has heard the fleet, and nothing is left over for the next sums.
+	Agents      uint32           `msgpack:"n,omitempty"` // That the relay hears; the pace of reports follows from it.
 	Totals      []WorkspaceTotal `msgpack:"t"`
 }
--- a/slots/config.go
+++ b/slots/config.go
@@ -39,7 +39,7 @@
 	setDuration(&c.AskMin, 100*time.Millisecond)
 	setDuration(&c.AskMax, 2*time.Second)
 	setDuration(&c.StateMin, 500*time.Millisecond)
-	setDuration(&c.StatePerEntry, 100*time.Millisecond)
+	setDuration(&c.StatePerEntry, 150*time.Millisecond)
 	setDuration(&c.RememberAttempts, 15*time.Minute)
 	setDuration(&c.AgeingAfter, 2*time.Minute)
 	setDuration(&c.StarveAfter, 30*time.Second)
@@ -51,7 +51,7 @@
 		c.MaxPrefixes = 8192
 	}
 	if c.StatePrefixes == 0 {
-		c.StatePrefixes = 32
+		c.StatePrefixes = 8
 	}
 	if c.ClassCredit == 0 {
 		c.ClassCredit = 500
