--- a/agent/config.go
+++ b/agent/config.go
@@ -23,7 +23,7 @@
 
 // Intervals of the ticker.
 const (
-	tickInterval    = 10 * time.Millisecond
+	tickInterval    = 25 * time.Millisecond
 	chargeInterval  = 20 * time.Millisecond // Between corrections of a running request's charge.
 	reportInterval  = 250 * time.Millisecond
 	cleanupInterval = 100 * time.Millisecond
