--- a/ledger/book.go
+++ b/ledger/book.go
@@ -16,6 +16,10 @@
 	ReportQuantum   = 20.0 // Cost units for one share.
 	SumsQuantum     = 50.0 // Cost units for one share.
 	RefreshInterval = 10 * time.Second
+	RepeatInterval  = 30 * time.Second // After which unchanged totals are reported again.
+	smallFleet      = 20               // Agents up to which reports go out at ReportInterval.
+	maxScale        = 6                // Of the interval and the quanta in larger fleets.
+	repeatStep      = 16               // Accounts looked at for that in one report.
 )
 
 // reportSlack lets a report through that a timer asks for a little early.
@@ -67,18 +71,22 @@
 	touched  []*Account // Scratch for Sums.
 	list     []*Account // Scratch for reports.
 	reportAt time.Time
+	next     int // Account to go on with repeating.
 	seq      uint64
 	whole    bool
 	relay    cleat.InstanceID
 	life     cleat.Incarnation // The relay's.
 	heard    uint64            // Last sums of that relay.
 	ready    bool
+	unbroken bool // No sums of the relay were missed since its last whole ones.
 	heardAt  time.Time
+	agents   uint32 // In the fleet, as last heard.
 }
 
-// NewBook returns an empty book of an agent.
+// NewBook returns an empty book of an agent, whose first report names it to a
+// relay even when it is empty.
 func NewBook(self cleat.Peer) *Book {
-	return &Book{self: self, accounts: map[cleat.WorkspaceID]*Account{}}
+	return &Book{self: self, accounts: map[cleat.WorkspaceID]*Account{}, whole: true}
 }
 
 // Account returns the workspace's account, made when absent.
@@ -131,7 +139,7 @@
 
 // Report returns what changed since the last report, or nil.
 func (b *Book) Report(now time.Time) *cleat.LedgerReport {
-	if now.Sub(b.reportAt) < ReportInterval-reportSlack && !b.whole {
+	if now.Sub(b.reportAt) < time.Duration(scale(b.agents)*float64(ReportInterval))-reportSlack && !b.whole {
 		return nil
 	}
 	list := b.due(now)
@@ -162,21 +170,34 @@
 	b.list = b.list[:0]
 	kept := b.changed[:0]
 	for _, a := range b.changed {
-		if !a.due(now) {
+		if !a.due(now, ReportQuantum*scale(b.agents)) {
 			kept = append(kept, a)
 			continue
 		}
-		a.changed = false
+		a.changed, a.at = false, now
 		b.list = append(b.list, a)
 	}
 	b.changed = kept
+	b.repeat(now)
 	return b.list
 }
 
+// repeat adds the next accounts that were not reported for long, so that a
+// report lost between relays is made good.
+func (b *Book) repeat(now time.Time) {
+	for range min(repeatStep, len(b.order)) {
+		a := b.order[b.next%len(b.order)]
+		b.next++
+		if !a.changed && a.service+a.lift > 0 && now.Sub(a.at) >= RepeatInterval {
+			b.list = append(b.list, a)
+		}
+	}
+}
+
 // due reports whether the account moved enough, or long ago.
-func (a *Account) due(now time.Time) bool {
+func (a *Account) due(now time.Time, quantum float64) bool {
 	moved := math.Abs(a.service + a.flying - a.reported.service - a.reported.flying)
-	return moved >= ReportQuantum || a.lift != a.liftTold || now.Sub(a.at) >= RefreshInterval
+	return moved >= quantum || a.lift != a.liftTold || now.Sub(a.at) >= RefreshInterval
 }
 
 // Sums takes in the fleet's sums and returns the accounts that they moved; the
@@ -187,6 +208,7 @@
 		return nil
 	}
 	b.heardAt = now
+	b.agents = m.Agents
 	for i := range m.Totals {
 		a := b.Account(m.Totals[i].Workspace)
 		if a.merge(&m.Totals[i]) {
@@ -202,17 +224,18 @@
 	switch {
 	case m.Relay != b.relay || m.Incarnation > b.life:
 		b.relay, b.life = m.Relay, m.Incarnation
-		b.whole = true
+		b.whole, b.unbroken = true, false
 	case m.Incarnation < b.life || m.Seq <= b.heard:
 		return false
 	case m.Seq > b.heard+1 && !m.Whole:
-		b.whole = true
+		b.whole, b.unbroken = true, false
 	}
+	b.unbroken = b.unbroken || m.Whole
 	if m.Seen == 0 {
 		b.whole = true
 	}
 	b.heard = m.Seq
-	b.ready = b.ready || m.Ready
+	b.ready = b.ready || (m.Ready && b.unbroken)
 	return true
 }
 
@@ -241,10 +264,10 @@
 }
 
 func (a *Account) total(whole bool) cleat.WorkspaceTotal {
-	t := cleat.WorkspaceTotal{Workspace: a.workspace, Service: math.Floor(a.service), Flying: math.Round(a.flying)}
-	if whole || a.lift != a.liftTold {
-		t.Lift = math.Ceil(a.lift)
-		a.liftTold = a.lift
+	a.liftTold = a.lift
+	t := cleat.WorkspaceTotal{
+		Workspace: a.workspace, Service: math.Floor(a.service),
+		Flying: math.Round(a.flying), Lift: math.Ceil(a.lift),
 	}
 	if whole {
 		t.Known = math.Floor(a.others)
@@ -262,6 +285,12 @@
 	return a.Virtual() != before
 }
 
+// scale is how much rarer and coarser reports are in a fleet of n agents, so that
+// what each instance sends and hears stays nearly the same.
+func scale(n uint32) float64 {
+	return min(max(1, float64(n)/smallFleet), maxScale)
+}
+
 // slack allows for the rounding of long sums.
 func slack(total float64) float64 {
 	return 1e-6 + total*1e-9
--- a/message.go
+++ b/message.go
@@ -75,6 +75,7 @@
 	Seq         uint64      `msgpack:"q"`
 	Whole       bool        `msgpack:"w,omitempty"` // Streams not named are withdrawn.
 	Offers      []Offer     `msgpack:"o"`
+	Granted     uint64      `msgpack:"g"` // The last of the agent's grants that the offers take into account.
 }
 
 // Grant lends one slot of an upstream to an entry for a request of a stream.
@@ -175,7 +176,7 @@
 	Running  uint32       `msgpack:"r"`
 	Leaving  bool         `msgpack:"x,omitempty"`
 	Slow     bool         `msgpack:"s,omitempty"` // Missing its latency targets or failing.
-	Prefixes []uint64     `msgpack:"p,omitempty"` // Digests added to its cache since the last state.
+	Prefixes []uint32     `msgpack:"p,omitempty"` // Low halves of digests added to its cache since the last state.
 	Forget   bool         `msgpack:"f,omitempty"` // Earlier prefixes are no longer known.
 }
 
@@ -221,5 +222,6 @@
 	Seen        uint64           `msgpack:"s"`
 	Whole       bool             `msgpack:"w,omitempty"`
 	Ready       bool             `msgpack:"y,omitempty"` // The relay has heard the fleet, and nothing is left over for the next sums.
+	Agents      uint32           `msgpack:"n,omitempty"` // That the relay hears; the pace of reports follows from it.
 	Totals      []WorkspaceTotal `msgpack:"t"`
 }
