Report demand by model to control and show control's own numbers

Placement follows the demand for models, which no entry reported: its orders kept to the least replicas only. Entries now send how many requests for each model wait or run. Control instances show revision, members, claims, leadership, violated invariants and the latency of changes and claims at /metrics.

--- a/ctrl/propose.go
+++ b/ctrl/propose.go
@@ -36,7 +36,13 @@
 	}
 	cmd := command{Change: &config.ChangeCommand{Change: c, Token: token, At: r.clock.Now()}}
 	err := r.propose(ctx, cmd, r.cfg.ChangeTimeout, &result)
-	return result, err
+	if err != nil {
+		r.measures.countChange("not_answered")
+		return result, err
+	}
+	r.measures.countChange(string(result.Code))
+	r.measures.change.RecordDuration(r.clock.Now().Sub(cmd.Change.At))
+	return result, nil
 }
 
 // ChangeToken puts a change of the tokens through the log.
@@ -53,9 +59,15 @@
 // claim puts one step of the claims through the log.
 func (r *Role) claim(c claim.Command) (cleat.ClaimResult, error) {
 	var result cleat.ClaimResult
-	c.Elapsed = r.machine.Elapsed(r.clock.Now())
-	err := r.propose(r.ctx, command{Claim: &c}, r.cfg.ClaimTimeout, &result)
-	return result, err
+	began := r.clock.Now()
+	c.Elapsed = r.machine.Elapsed(began)
+	if err := r.propose(r.ctx, command{Claim: &c}, r.cfg.ClaimTimeout, &result); err != nil {
+		r.measures.countClaim(cleat.ClaimNoQuorum)
+		return result, err
+	}
+	r.measures.countClaim(result.State)
+	r.measures.claim.RecordDuration(r.clock.Now().Sub(began))
+	return result, nil
 }
 
 func (r *Role) takeClaim(l cleat.Link, m *cleat.Claim) {
--- a/ctrl/role.go
+++ b/ctrl/role.go
@@ -31,22 +31,23 @@
 
 // Role is one control instance.
 type Role struct {
-	cfg     Config
-	clock   cleat.Clock
-	log     *log.Logger
-	self    cleat.Peer
-	machine *Machine
-	host    *quorum.Host
-	server  *wire.Server
-	dialer  *wire.Dialer
-	http    net.Listener
-	echo    *echo.Echo
-	health  *telem.Health
-	metrics *telem.Metrics
-	ctx     context.Context // Done when the role ends.
-	cancel  context.CancelFunc
-	seed    []byte        // The state to take over, if any.
-	claims  chan struct{} // A slot for each claim in flight.
+	cfg      Config
+	clock    cleat.Clock
+	log      *log.Logger
+	self     cleat.Peer
+	machine  *Machine
+	host     *quorum.Host
+	server   *wire.Server
+	dialer   *wire.Dialer
+	http     net.Listener
+	echo     *echo.Echo
+	health   *telem.Health
+	metrics  *telem.Metrics
+	measures measures
+	ctx      context.Context // Done when the role ends.
+	cancel   context.CancelFunc
+	seed     []byte        // The state to take over, if any.
+	claims   chan struct{} // A slot for each claim in flight.
 
 	mu      sync.Mutex
 	members *member.Table
@@ -101,6 +102,7 @@
 		peers:   make(map[cleat.InstanceID]*peerLinks),
 		calls:   make(map[uint64]chan cleat.Message),
 	}
+	r.measures = newMeasures(r.metrics.Scope())
 	if err := r.open(); err != nil {
 		cancel()
 		return nil, trace.Wrap(err, "Open")
@@ -177,6 +179,7 @@
 	r.add(&g, r.leaderLoop)
 	r.add(&g, r.dialLoop)
 	r.add(&g, r.firstLoop)
+	r.add(&g, r.gaugeLoop)
 	r.addServers(&g)
 	return trace.Wrap(g.Run(), "Role.Run")
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -109,7 +109,7 @@
 
 func (d *Daemon) register() cleat.Register {
 	_, ready := d.Ready()
-	return cleat.Register{Status: d.Status(), Leaving: ready == telem.Draining}
+	return cleat.Register{Status: d.Status(), Demand: d.Demand(), Leaving: ready == telem.Draining}
 }
 
 // Run serves callers until the entry is drained, which returns nil, or closed.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -160,6 +160,13 @@
 	return e.table.Status()
 }
 
+// Demand returns how many requests for each model wait or run here.
+func (e *Entry) Demand() []cleat.ModelDemand {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table.Demand()
+}
+
 // Abandoned says what a Close now would cut off.
 func (e *Entry) Abandoned() string {
 	e.mu.Lock()
