--- a/cmd/gauge/recovery.go
+++ b/cmd/gauge/recovery.go
@@ -82,6 +82,7 @@
 	disk    *fdisk.Disk
 	store   *store.Store
 	replica *quorum.Replica
+	machine *settingsMachine
 	now     time.Time
 }
 
@@ -107,6 +108,7 @@
 	}
 	cfg := quorum.Config{Self: "c1", First: []cleat.InstanceID{"c1"}}
 	s.store = opened
+	s.machine = machine
 	s.replica, err = quorum.NewReplica(cfg, s.now, restored, snapshot, machine, quorum.Fresh{Session: 1, Cluster: "log"}, rand.New(rand.NewSource(1)))
 	if err != nil {
 		return 0, trace.Wrap(err)
@@ -134,6 +136,11 @@
 }
 
 func (s *single) write() error {
+	if s.replica.SnapshotDue() {
+		s.replica.BeginSnapshot()
+		data, err := s.machine.Snapshot()
+		s.replica.EndSnapshot(s.now, data, err)
+	}
 	for b := s.replica.Work(); b != nil; b = s.replica.Work() {
 		if err := b.Write(s.store); err != nil {
 			return trace.Wrap(err)
--- a/quorum/config.go
+++ b/quorum/config.go
@@ -32,7 +32,8 @@
 	SnapshotChunkBytes int    // Of a snapshot in one message.
 	SnapshotEntries    uint64 // Applied since the last snapshot before another is taken.
 	SnapshotBytes      int    // Of commands applied since the last snapshot before another is taken.
-	TrailingEntries    uint64 // Kept in memory before a snapshot, for followers slightly behind.
+	TrailingEntries    uint64 // Kept in memory before a snapshot, for followers slightly behind, at most.
+	TrailingBytes      int    // Of these entries, at most.
 }
 
 // Defaults sets what was left out.
@@ -52,6 +53,7 @@
 	setDefault(&c.SnapshotEntries, 4096)
 	setDefault(&c.SnapshotBytes, 8<<20)
 	setDefault(&c.TrailingEntries, 512)
+	setDefault(&c.TrailingBytes, 1<<20)
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -161,7 +161,7 @@
 
 // Compacted tells the core that a snapshot of the applied state up to meta is taken.
 func (c *Core) Compacted(meta SnapshotMeta) {
-	c.log.compact(meta, c.cfg.TrailingEntries)
+	c.log.compact(meta, c.cfg.TrailingEntries, c.cfg.TrailingBytes)
 }
 
 // observe begins all time spans anew when the clock went back, or forward by
--- a/quorum/entrylog.go
+++ b/quorum/entrylog.go
@@ -116,16 +116,23 @@
 	return members
 }
 
-// compact records a snapshot and drops entries before it, but for some.
-func (l *entryLog) compact(snapshot SnapshotMeta, trailing uint64) {
+// compact records a snapshot and drops entries before it, but for some that are
+// not too large together.
+func (l *entryLog) compact(snapshot SnapshotMeta, trailing uint64, maxBytes int) {
 	l.snapshot = snapshot
 	for len(l.configs) > 1 && l.configs[1].index <= snapshot.Index {
 		l.configs = l.configs[1:]
 	}
-	if snapshot.Index <= l.base+trailing {
+	base := snapshot.Index
+	for size := 0; base > l.base && snapshot.Index-base < trailing; base-- {
+		size += l.get(base).size()
+		if size > maxBytes {
+			break
+		}
+	}
+	if base == l.base {
 		return
 	}
-	base := snapshot.Index - trailing
 	term, _ := l.term(base)
 	l.entries = append([]Entry(nil), l.entries[base-l.base:]...)
 	l.base = base
--- a/quorum/host.go
+++ b/quorum/host.go
@@ -20,6 +20,7 @@
 	idBytes         = 16
 	diskRetryDelay  = 200 * time.Millisecond
 	handoverTimeout = time.Second
+	snapshotCheck   = 50 * time.Millisecond
 )
 
 // Transport carries messages to other control instances.
@@ -30,8 +31,9 @@
 
 // Host runs a replica on a disk and links; it implements cleat.Replicator.
 //
-// The state machine is called while the host's mutex is held, so it must not
-// call the host.
+// The state machine's Apply and Restore are called while the host's mutex is
+// held, so they must not call the host. Its Snapshot is called without, and never
+// while Apply runs, but may meet Restore.
 type Host struct {
 	cfg       Config
 	clock     cleat.Clock
@@ -41,6 +43,7 @@
 
 	mu      sync.Mutex // Guards the fields below; taken before sendMu.
 	replica *Replica
+	machine cleat.StateMachine
 	diskErr error
 	stopped bool
 
@@ -66,6 +69,7 @@
 		cfg:       cfg,
 		clock:     clock,
 		transport: tr,
+		machine:   sm,
 		log:       logger,
 		store:     s,
 		work:      make(chan struct{}, 1),
@@ -110,7 +114,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	workers, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, worker := range []func(context.Context){h.tickWorker, h.diskWorker, h.sendWorker} {
+	for _, worker := range []func(context.Context){h.tickWorker, h.snapshotWorker, h.diskWorker, h.sendWorker} {
 		wg.Go(func() { worker(workers) })
 	}
 	<-ctx.Done()
@@ -206,11 +210,13 @@
 	return h.change(ctx, MemberChange{Kind: ChangeRemove, Member: Member{Replica: id}})
 }
 
-// TakeSnapshot has the log replaced by a snapshot of what is applied here.
+// TakeSnapshot has the log replaced soon by a snapshot of what is applied here.
 func (h *Host) TakeSnapshot() error {
-	var err error
-	h.do(func(time.Time) { err = h.replica.TakeSnapshot() })
-	return trace.Wrap(err)
+	if err := h.accepts(); err != nil {
+		return trace.Wrap(err)
+	}
+	h.do(func(time.Time) { h.replica.AskSnapshot() })
+	return nil
 }
 
 func (h *Host) change(ctx context.Context, change MemberChange) error {
--- a/quorum/host_test.go
+++ b/quorum/host_test.go
@@ -55,6 +55,9 @@
 	hosts map[cleat.InstanceID]*quorum.Host
 }
 
+// maxFrame is what links carry at most.
+const maxFrame = 4 << 20
+
 type port struct {
 	*mesh
 	self cleat.InstanceID
@@ -64,7 +67,7 @@
 	p.mu.Lock()
 	h := p.hosts[to]
 	p.mu.Unlock()
-	if h == nil {
+	if h == nil || len(m.Data) > maxFrame {
 		return trace.ConnectionProblem(nil, "port.Send: %s is down", to)
 	}
 	h.Receive(p.self, m)
@@ -111,6 +114,7 @@
 		Eventually(leads(h), "10s").Should(Equal(quorum.DutyLeader))
 		Expect(h.Propose(ctx, []byte("ab"))).To(Equal([]byte("2")))
 		Expect(h.TakeSnapshot()).To(Succeed())
+		Eventually(func() uint64 { return h.Status().Snapshot }, "10s").Should(BeNumerically(">", 0))
 		Expect(h.Propose(ctx, []byte("c"))).To(Equal([]byte("3")))
 		Eventually(func() bool { _, held := h.OrderLease(); return held }, "10s").Should(BeTrue())
 		Expect(stop()).To(Succeed())
@@ -155,6 +159,25 @@
 		Expect(stop()).To(Succeed())
 	})
 
+	It("sends a command too large for a link inside a snapshot", func() {
+		m := &mesh{hosts: map[cleat.InstanceID]*quorum.Host{}}
+		cfg := quorum.Config{Self: "c1", First: []cleat.InstanceID{"c1"}, MaxCommandBytes: 3 * maxFrame}
+		h, stop, err := m.start(cfg, fdisk.New(rand.New(rand.NewSource(1))), &counter{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(stop)
+		Eventually(leads(h), "10s").Should(Equal(quorum.DutyLeader))
+		_, err = h.Propose(ctx, make([]byte, 2*maxFrame))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.TakeSnapshot()).To(Succeed())
+		Eventually(func() uint64 { return h.Status().Snapshot }, "10s").Should(BeNumerically(">", 0))
+		sm := &counter{}
+		_, stop, err = m.start(quorum.Config{Self: "c2", Peers: []cleat.InstanceID{"c1"}}, fdisk.New(rand.New(rand.NewSource(1))), sm)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(stop)
+		Eventually(func() error { return h.AddLearner(ctx, "c2") }, "10s").Should(Succeed())
+		Eventually(func() int { return len(sm.value()) }, "20s").Should(Equal(2 * maxFrame))
+	})
+
 	It("works with three, through any of them, and adds and removes replicas", func() {
 		m := &mesh{hosts: map[cleat.InstanceID]*quorum.Host{}}
 		all := []cleat.InstanceID{"c1", "c2", "c3", "c4"}
--- a/quorum/persist.go
+++ b/quorum/persist.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"marigoldcleat.example/cleat/assert"
 )
 
@@ -35,45 +33,11 @@
 	r.appliedTerm = in.Meta.Term
 	r.recent = 0
 	r.replace = true
+	r.deferred = nil
+	r.outdated = r.snapshotting
 	r.waiters.applied(r.applied)
 }
 
-// compact takes a snapshot when enough was applied since the last one. It
-// waits while a follower is sent the present one, unless the log has grown a lot.
-func (r *Replica) compact() {
-	since := r.applied - r.core.log.snapshot.Index
-	if since < r.cfg.SnapshotEntries && r.recent < r.cfg.SnapshotBytes {
-		return
-	}
-	if r.core.SendsSnapshot() && since < 4*r.cfg.SnapshotEntries {
-		return
-	}
-	if err := r.TakeSnapshot(); err != nil {
-		assert.Fail("snapshot_taken", "%v", err)
-	}
-}
-
-// TakeSnapshot has the log replaced by a snapshot of what is applied.
-func (r *Replica) TakeSnapshot() error {
-	if r.applied == r.core.log.snapshot.Index {
-		return nil
-	}
-	data, err := r.sm.Snapshot()
-	if err != nil {
-		return trace.Wrap(err, "Replica.TakeSnapshot")
-	}
-	r.snapshot = data
-	r.recent = 0
-	r.replace = true
-	r.core.Compacted(SnapshotMeta{
-		Index:   r.applied,
-		Term:    r.appliedTerm,
-		Members: r.core.log.membersAt(r.applied),
-		Size:    len(data),
-	})
-	return nil
-}
-
 // Work returns the next batch to write, or nil while one is being written or
 // nothing is to be.
 func (r *Replica) Work() *Batch {
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -23,6 +23,11 @@
 	recent      int // Bytes of commands applied since the last snapshot.
 	snapshot    []byte
 
+	asked        bool    // A snapshot is wanted.
+	snapshotting bool    // Between BeginSnapshot and EndSnapshot.
+	outdated     bool    // The snapshot being taken is no longer of use.
+	deferred     []Entry // To apply once the snapshot is taken.
+
 	inFlight *Batch
 	replace  bool // The next batch replaces the whole log.
 	entries  []Entry
@@ -92,7 +97,6 @@
 	r.repeatReads(now)
 	r.form(now)
 	r.announce(now)
-	r.compact()
 }
 
 // observe moves what is timed along when the clock was set back.
@@ -209,6 +213,10 @@
 }
 
 func (r *Replica) apply(entries []Entry) {
+	if r.snapshotting {
+		r.deferred = append(r.deferred, entries...)
+		return
+	}
 	for i := range entries {
 		r.applyEntry(&entries[i])
 	}
--- a/quorum/worker.go
+++ b/quorum/worker.go
@@ -21,6 +21,35 @@
 	}
 }
 
+// snapshotWorker takes snapshots outside the mutex, so that a large state does
+// not hold up heartbeats.
+func (h *Host) snapshotWorker(ctx context.Context) {
+	ticker := time.NewTicker(snapshotCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !h.beginSnapshot() {
+			continue
+		}
+		data, err := h.machine.Snapshot()
+		h.do(func(now time.Time) { h.replica.EndSnapshot(now, data, err) })
+	}
+}
+
+func (h *Host) beginSnapshot() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.replica.SnapshotDue() {
+		return false
+	}
+	h.replica.BeginSnapshot()
+	return true
+}
+
 // diskWorker writes batch after batch; what comes meanwhile shares the next sync.
 func (h *Host) diskWorker(ctx context.Context) {
 	for {
--- a/trial/node.go
+++ b/trial/node.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	diskRetry = 200 * time.Millisecond
+	diskRetry    = 200 * time.Millisecond
+	snapshotTime = 7 * time.Millisecond
 	// clockStart is far from zero, so that clocks can be set back.
 	clockStart = 1_000_000 * time.Hour
 )
@@ -216,14 +217,12 @@
 	n.flush()
 }
 
-// Snapshot takes a snapshot of what is applied.
+// Snapshot asks for a snapshot of what is applied.
 func (n *Node) Snapshot() {
 	if !n.Up() {
 		return
 	}
-	if err := n.replica.TakeSnapshot(); err != nil {
-		n.cluster.check.fail("snapshot", "%v", err)
-	}
+	n.replica.AskSnapshot()
 	n.flush()
 }
 
@@ -263,6 +262,7 @@
 	for _, e := range n.replica.Outbox() {
 		n.cluster.send(n, e)
 	}
+	n.snapshot()
 	if n.writing {
 		return
 	}
@@ -274,6 +274,22 @@
 	n.write(b, n.cluster.cfg.SyncDelay)
 }
 
+// snapshot takes one if it is due; that takes some time.
+func (n *Node) snapshot() {
+	if !n.replica.SnapshotDue() {
+		return
+	}
+	n.replica.BeginSnapshot()
+	life := n.life
+	n.cluster.after(snapshotTime, func() {
+		if n.life == life {
+			data, err := n.machine.Snapshot()
+			n.replica.EndSnapshot(n.local(), data, err)
+			n.flush()
+		}
+	})
+}
+
 func (n *Node) write(b *quorum.Batch, delay time.Duration) {
 	life := n.life
 	n.cluster.after(delay, func() {
