slots: fill an upstream later that reports a queue of its own

Cause: load reports were kept and never used. Change: as a hint alone, they divide the free part by which upstreams of one agent are ordered; a spec shows it.

--- a/slots/grant.go
+++ b/slots/grant.go
@@ -34,7 +34,8 @@
 	return t.collect()
 }
 
-// freest returns the upstream with the largest free part of its limit for which something waits.
+// freest returns the upstream with the largest free part of its limit for which
+// something waits; one that reported a queue of its own comes later.
 func (t *Table) freest(now time.Time) *upstream {
 	var best *upstream
 	most := 0.0
@@ -44,7 +45,8 @@
 		if free <= 0 || !t.wanted(u) {
 			continue
 		}
-		if part := float64(free) / float64(limit); part > most {
+		part := float64(free) / float64(limit) / float64(1+u.load.Queued)
+		if part > most {
 			best, most = u, part
 		}
 	}
--- a/slots/table_test.go
+++ b/slots/table_test.go
@@ -123,6 +123,15 @@
 		Expect(e.Sends).To(ContainElement(HaveField("Message", BeAssignableToTypeOf(&cleat.Ask{}))))
 	})
 
+	It("fills an upstream later that reports a queue of its own", func() {
+		b := newBench(2)
+		b.table.Announce(b.now, cleat.Announcement{Upstream: "v", Kind: cleat.KindModel, Models: []cleat.ModelID{"m"}, Slots: 2})
+		b.table.LoadReport(b.now, cleat.LoadReport{Upstream: "u", Queued: 3})
+		g := b.offer("a/x", 3)
+		Expect(g[0].Upstream).To(Equal(cleat.UpstreamID("v")))
+		Expect(g).To(ContainElement(HaveField("Upstream", cleat.UpstreamID("u"))))
+	})
+
 	It("forgets cached prefixes after a gap in the events", func() {
 		b := newBench(1)
 		b.table.CacheEvent(b.now, cleat.CacheEvent{Upstream: "u", Seq: 1, Added: []uint64{1, 2}})
