ledger: relays forgive a lag beyond 4,000 units once they hear all agents

Change: a relay that has heard every agent within 3 s raises workspaces that are being served to within 4,000 units of the one that leads. While an agent is silent it does nothing, for 2 hours.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -91,6 +91,21 @@
 		Expect(r.Total("w").Service).To(Equal(1060.0))
 	})
 
+	It("forgives a long lag once all agents were heard, and not before", func() {
+		r := newRelay(1)
+		r.Report(start, report("a", 5, 1, total("lead", 20000, 10), total("lag", 100, 10), total("idle", 50, 0)))
+		r.Report(start, report("b", 5, 1, total("lead", 0, 10)))
+		at := start.Add(ledger.AdoptWindow + time.Second)
+		r.Report(at, report("a", 5, 2, total("lag", 101, 10)))
+		r.Sums(at, "a")
+		Expect(r.Total("lag").Lift).To(BeZero(), "agent b is silent")
+		r.Report(at.Add(time.Second), report("a", 5, 3, total("lead", 20001, 10), total("lag", 102, 10)))
+		r.Report(at.Add(time.Second), report("b", 5, 2, total("lead", 1, 10)))
+		r.Sums(at.Add(2*time.Second), "a")
+		Expect(r.Total("lag").Lift).To(Equal(20002 - ledger.MaxLag - 102))
+		Expect(r.Total("idle").Lift).To(BeZero())
+	})
+
 	It("passes all on to a relay that comes up, which merges it as often as it is sent", func() {
 		r, other := newRelay(1), newRelay(2)
 		r.Report(start, report("a", 5, 1, total("w", 100, 0)))
--- a/ledger/relay.go
+++ b/ledger/relay.go
@@ -13,6 +13,9 @@
 	AdoptWindow   = 10 * time.Second
 	FlightBound   = 10 * time.Second // After which the level of a silent agent counts no more.
 	FoldAfter     = 10 * time.Minute // After a newer incarnation was heard.
+	MaxLag        = 4000.0           // Cost units for one share by which a workspace that is served may lag.
+	FreshBound    = 3 * time.Second  // Within which all agents must have reported before a lag is forgiven.
+	AbsentBound   = 2 * time.Hour    // After which a silent agent is not waited for.
 	SilentBound   = 24 * time.Hour   // After which a silent agent's totals are folded.
 )
 
@@ -60,6 +63,7 @@
 	rows    map[cleat.InstanceID][]*row // Newest incarnation last.
 	order   []cleat.InstanceID          // By first report.
 	expired time.Time
+	level   time.Time // When lags were last looked at.
 	folded  map[cleat.InstanceID]cleat.Incarnation
 	feeds   map[cleat.InstanceID]*feed
 }
@@ -116,6 +120,7 @@
 // agent's own present total, or nil when nothing did.
 func (r *Relay) Sums(now time.Time, agent cleat.InstanceID) *cleat.LedgerSums {
 	r.expire(now)
+	r.forgive(now)
 	f, ok := r.feeds[agent]
 	if !ok {
 		f = &feed{ackDue: true, whole: true}
@@ -367,6 +372,45 @@
 	}
 }
 
+// forgive bounds how far a workspace that is being served lags behind another, so
+// that what a long cut did is not repaid by shutting others out for as long. It
+// waits until every agent was heard: a partial view would raise who does not lag.
+func (r *Relay) forgive(now time.Time) {
+	if now.Sub(r.level) < time.Second || now.Sub(r.started) < AdoptWindow {
+		return
+	}
+	r.level = now
+	if !r.hearsAll(now) {
+		return
+	}
+	most := math.Inf(-1)
+	for i := range r.names {
+		if r.sums[i].flying > 0 {
+			most = max(most, r.received(i))
+		}
+	}
+	for i := range r.names {
+		if short := most - MaxLag - r.received(i); r.sums[i].flying > 0 && short > 0 {
+			r.lifts[i] += math.Ceil(short)
+		}
+	}
+}
+
+func (r *Relay) received(i int) float64 {
+	return r.sums[i].service + r.base[i] + r.lifts[i]
+}
+
+// hearsAll reports whether no agent is silent that may come back.
+func (r *Relay) hearsAll(now time.Time) bool {
+	for _, id := range r.order {
+		quiet := now.Sub(r.newest(id).heard)
+		if quiet > FreshBound && quiet < AbsentBound {
+			return false
+		}
+	}
+	return true
+}
+
 func (w *row) stale(now time.Time) bool {
 	quiet := now.Sub(w.heard)
 	return (w.superseded && quiet > FoldAfter) || quiet > SilentBound
