--- a/entry/answer.go
+++ b/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
 )
 
 // answer puts the parts of one attempt's answer together in order.
@@ -98,6 +99,9 @@
 }
 
 func (a *answer) takeData(fresh []byte, end uint64) {
+	if end != a.next+uint64(len(fresh)) {
+		assert.Fail("part-in-order", "%s goes on from %d to %d with %d bytes", a.attempt, a.next, end, len(fresh))
+	}
 	a.asked = false
 	a.next = end
 	if len(fresh) > 0 {
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -232,10 +232,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(n).To(Equal(int64(total)))
 		Eventually(sent, patience).Should(Receive())
-		Eventually(func() bool {
-			acks := messages[*cleat.PartAck](a)
-			return acks[len(acks)-1].Done
-		}, patience).Should(BeTrue())
+		Eventually(func() []*cleat.PartAck { return messages[*cleat.PartAck](a) }, patience).Should(ContainElement(
+			And(HaveField("Done", true), HaveField("Offset", uint64(total)))))
 	})
 
 	It("drops what an agent sends beyond its window, and asks for it again", func() {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/assert"
 )
 
 // exchange is one request and its answer, as the caller's goroutine sees them.
@@ -22,11 +23,12 @@
 	workspace cleat.WorkspaceID
 	call      *call
 
-	started  bool // The head was written.
-	stream   bool // The answer is a stream of events.
-	boundary bool // The last byte written ended an event.
-	first    bool // The first byte of the body was written.
-	gone     bool // The caller is; the rest of the answer is only recorded.
+	started  bool   // The head was written.
+	stream   bool   // The answer is a stream of events.
+	boundary bool   // The last byte written ended an event.
+	first    bool   // The first byte of the body was written.
+	gone     bool   // The caller is; the rest of the answer is only recorded.
+	taken    uint64 // Bytes of the body so far.
 	acked    uint64
 	tail     []byte
 	recorder *recorder
@@ -235,6 +237,7 @@
 		return false
 	}
 	done := p.ended && p.outcome.Kind == cleat.OutcomeDone
+	x.follow(p)
 	x.keep(p, done)
 	if !x.gone && x.write(p) != nil && x.leave() {
 		return true
@@ -246,6 +249,16 @@
 	return done
 }
 
+// follow checks that a piece continues the answer where the last one ended.
+func (x *exchange) follow(p piece) {
+	for _, b := range p.data {
+		x.taken += uint64(len(b))
+	}
+	if x.taken != p.next {
+		assert.Fail("answer-in-order", "%s has %d bytes of its answer and got up to offset %d", x.id, x.taken, p.next)
+	}
+}
+
 // begin passes the head on, unless the attempt was superseded meanwhile.
 func (x *exchange) begin(p piece) bool {
 	if !x.e.begin(x.call, p.attempt) {
@@ -438,6 +451,10 @@
 
 // refuse answers with a refusal; nothing was answered yet.
 func (x *exchange) refuse(p *problem) {
+	if x.started {
+		assert.Fail("answered-once", "%s is refused as %s after its answer began", x.id, p.Reason)
+		return
+	}
 	p.Request = x.id
 	x.count(p.Refusal)
 	if x.gone {
