ctrl: ask for workspaces' numbers only when an operator wants one

Cause: the placement read the whole status of every node each second, with all workspaces; at the planned size (350 nodes, 2,800 workspaces) an answer could exceed a frame and the traffic a node's budget. The status now names the workspace wanted and holds it and backlogged ones alone, or none; placement looks every 5 s. The sums over entries and agents got a test.

--- a/control.go
+++ b/control.go
@@ -59,7 +59,8 @@
 
 // StatusRead asks another control instance for the nodes registered with it.
 type StatusRead struct {
-	Call uint64 `msgpack:"n"` // Matches the report to the call.
+	Call      uint64      `msgpack:"n"`           // Matches the report to the call.
+	Workspace WorkspaceID `msgpack:"w,omitempty"` // Whose numbers are wanted, with those of backlogged ones; empty for none.
 }
 
 // StatusReport answers a StatusRead.
--- a/ctrl/api_status.go
+++ b/ctrl/api_status.go
@@ -13,7 +13,7 @@
 )
 
 func (r *Role) getStatus(c echo.Context, _ caller) error {
-	nodes, missing := r.gather(c.Request().Context())
+	nodes, missing := r.gather(c.Request().Context(), "")
 	leader, _ := r.host.Leader()
 	s := admin.FleetStatus{
 		Revision: r.machine.Revision(), Leader: leader, Unreachable: missing,
@@ -57,7 +57,7 @@
 	if !ok {
 		return failed(http.StatusNotFound, admin.CodeNotFound, "there is no workspace "+string(id))
 	}
-	nodes, _ := r.gather(c.Request().Context())
+	nodes, _ := r.gather(c.Request().Context(), id)
 	s := sum(w, nodes)
 	s.Service, s.Gap = r.service(id, backlogged(nodes))
 	return c.JSON(http.StatusOK, s)
--- a/ctrl/bench_test.go
+++ b/ctrl/bench_test.go
@@ -32,6 +32,7 @@
 	}
 	for i, id := range first {
 		ins := newInstance(string(id), first, f.folder, f.controlFile())
+		ins.cfg.OrderInterval = 0
 		disk := fdisk.New(rand.New(rand.NewSource(int64(i))))
 		disk.SetSyncDelay(syncDelay)
 		ins.cfg.Disk = disk
--- a/ctrl/calls.go
+++ b/ctrl/calls.go
@@ -49,25 +49,28 @@
 
 func (r *Role) answerStatus(l cleat.Link, m *cleat.StatusRead) {
 	r.mu.Lock()
-	report := &cleat.StatusReport{Call: m.Call, Nodes: r.members.Status(r.clock.Now())}
+	report := &cleat.StatusReport{Call: m.Call, Nodes: r.members.Status(r.clock.Now(), m.Workspace)}
 	r.mu.Unlock()
 	r.post(l, report)
 }
 
-// gather returns the status of all nodes, sorted by instance and then by how
-// lately they were heard, and the control instances that did not answer.
-func (r *Role) gather(ctx context.Context) (nodes []located, missing []cleat.InstanceID) {
+// gather returns the status of all nodes, sorted by instance, and the control
+// instances that did not answer; of workspaces only the one asked for and
+// backlogged ones, or none for an empty name.
+func (r *Role) gather(ctx context.Context, workspace cleat.WorkspaceID) (nodes []located, missing []cleat.InstanceID) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	r.mu.Lock()
-	for _, s := range r.members.Status(r.clock.Now()) {
+	for _, s := range r.members.Status(r.clock.Now(), workspace) {
 		nodes = append(nodes, located{control: r.self.Instance, status: s})
 	}
 	r.mu.Unlock()
 	answers := make(map[cleat.InstanceID]<-chan cleat.Message)
 	others := r.others()
 	for _, id := range others {
-		answer, forget, err := r.ask(id, func(call uint64) cleat.Message { return &cleat.StatusRead{Call: call} })
+		answer, forget, err := r.ask(id, func(call uint64) cleat.Message {
+			return &cleat.StatusRead{Call: call, Workspace: workspace}
+		})
 		defer forget()
 		if err == nil {
 			answers[id] = answer
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -17,7 +17,7 @@
 	DefaultMemberInterval   = 200 * time.Millisecond
 	DefaultSumsInterval     = 500 * time.Millisecond
 	DefaultConfirmInterval  = time.Second
-	DefaultOrderInterval    = time.Second
+	DefaultOrderInterval    = 5 * time.Second
 	DefaultClaimTimeout     = 2 * time.Second
 	DefaultChangeTimeout    = 5 * time.Second
 	DefaultHolderLostAfter  = 30 * time.Second
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -96,7 +96,7 @@
 	if !held || (len(placed.Placements) == 0 && len(placed.Pins) == 0) {
 		return
 	}
-	nodes, _ := r.gather(ctx)
+	nodes, _ := r.gather(ctx, "")
 	placed.Upstreams, placed.Demand = upstreams(nodes), demand(nodes)
 	if again, still := r.host.OrderLease(); !still || again != term {
 		return
--- a/ctrl/role_test.go
+++ b/ctrl/role_test.go
@@ -162,6 +162,32 @@
 			Expect(n.Claim(m, deadline()).Answer.Body).To(Equal([]byte("paid")))
 		})
 
+		It("sums a workspace over entries and agents without counting twice", func() {
+			says := func(s cleat.WorkspaceStatus) node.Config {
+				s.Workspace = "ring/desk"
+				return node.Config{Register: func() cleat.Register { return cleat.Register{Status: []cleat.WorkspaceStatus{s}} }}
+			}
+			entry := says(cleat.WorkspaceStatus{Waiting: 3, Running: 2, Refused: map[cleat.Reason]uint64{cleat.ReasonDeadline: 1}})
+			_, stop := f.startNode("entry", cleat.RoleEntry, entry, nil)
+			defer stop()
+			_, stopAgent := f.startNode("agent", cleat.RoleAgent, says(cleat.WorkspaceStatus{Running: 2, Served: 5}), nil)
+			defer stopAgent()
+			_, err := f.client().Change(ctx, cleat.Change{Operation: "w", Ops: []cleat.ChangeOp{
+				{Path: "/teams/ring/workspaces/desk", Value: json.RawMessage(`{}`)},
+				{Path: "/fleet/shares/ring/desk", Value: json.RawMessage(`{"share":2}`)},
+			}})
+			Expect(err).NotTo(HaveOccurred())
+			var s admin.WorkspaceStatus
+			Eventually(func() int {
+				Expect(f.client().Get(ctx, admin.PathWorkspace, url.Values{"workspace": {"ring/desk"}}, &s)).To(Succeed())
+				return s.Reporting
+			}, patience).Should(Equal(2))
+			Expect(s).To(Equal(admin.WorkspaceStatus{
+				Workspace: "ring/desk", Share: 2, Waiting: 3, Running: 2, Served: 5, Reporting: 2,
+				Refused: map[cleat.Reason]uint64{cleat.ReasonDeadline: 1},
+			}))
+		})
+
 		It("orders a load from an agent and takes its result", func() {
 			var mu sync.Mutex
 			models := []cleat.ModelID{}
@@ -279,6 +305,10 @@
 				return least
 			}
 			Eventually(all, patience).Should(Equal(5))
+			var s admin.FleetStatus
+			Expect(f.client().Get(ctx, admin.PathStatus, nil, &s)).To(Succeed())
+			Expect(s.Nodes).To(HaveLen(5))
+			Expect(s.Unreachable).To(BeEmpty())
 			for _, i := range f.instances {
 				i.stop()
 			}
--- a/ctrl/suite_test.go
+++ b/ctrl/suite_test.go
@@ -126,6 +126,7 @@
 	return &instance{cfg: ctrl.Config{
 		ID: cleat.InstanceID(id), Domain: cleat.DomainID("d-" + id), Listen: "127.0.0.1:0", HTTP: "127.0.0.1:0",
 		DataFolder: filepath.Join(folder, id), ControlFile: controlFile, First: first, Wire: links(),
+		OrderInterval: 300 * time.Millisecond,
 	}}
 }
 
--- a/member/table.go
+++ b/member/table.go
@@ -292,22 +292,25 @@
 	return list
 }
 
-// Status returns what the instances that register here last said, sorted.
-func (t *Table) Status(now time.Time) []cleat.NodeStatus {
+// Status returns what the instances that register here last said, sorted; of
+// workspaces only the one asked for and backlogged ones, or none for an empty name.
+func (t *Table) Status(now time.Time, workspace cleat.WorkspaceID) []cleat.NodeStatus {
 	list := make([]cleat.NodeStatus, 0, len(t.nodes))
 	for _, id := range slices.Sorted(maps.Keys(t.nodes)) {
 		n := t.nodes[id]
 		r := n.register
-		r.Status = n.workspaces()
+		r.Status = n.workspaces(workspace)
 		list = append(list, cleat.NodeStatus{Register: r, Suspected: t.suspected(now, n), Silent: now.Sub(n.heard)})
 	}
 	return list
 }
 
-func (n *node) workspaces() []cleat.WorkspaceStatus {
-	list := make([]cleat.WorkspaceStatus, 0, len(n.status))
+func (n *node) workspaces(asked cleat.WorkspaceID) []cleat.WorkspaceStatus {
+	var list []cleat.WorkspaceStatus
 	for _, s := range n.status {
-		list = append(list, s)
+		if asked != "" && (s.Workspace == asked || s.Waiting > 0) {
+			list = append(list, s)
+		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Workspace < list[j].Workspace })
 	return list
