claim: a full table gives up old outcomes rather than refuse new claims

Change: at the bound, outcomes older than an hour give way, oldest first; a claim is refused only when 100,000 came within the hour (28 a second). The spec of the bound now checks both sides of the hour.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -79,15 +79,19 @@
 		Expect(ask(t, h, "1", "again", "a").Answer.Body).To(HaveLen(claim.MaxBodyBytes))
 	})
 
-	It("refuses claims beyond its bound and takes them again after the retention", func() {
+	It("refuses claims beyond its bound until its oldest outcomes are past the least retention", func() {
 		t := claim.NewTable()
 		for i := range claim.MaxClaims {
 			ask(t, h, fmt.Sprint(i), fmt.Sprint(i), "a")
 			finish(t, h, fmt.Sprint(i), fmt.Sprint(i), nil)
 		}
 		Expect(ask(t, h, "more", "more", "a").State).To(Equal(cleat.ClaimNoQuorum))
-		t.Apply(claim.Command{Elapsed: claim.Retention, Tick: true})
+		t.Apply(claim.Command{Elapsed: claim.LeastRetention - 1, Tick: true})
+		Expect(ask(t, h, "more", "more", "a").State).To(Equal(cleat.ClaimNoQuorum))
+		t.Apply(claim.Command{Elapsed: claim.LeastRetention, Tick: true})
 		Expect(ask(t, h, "more", "more", "a").State).To(Equal(cleat.ClaimGranted))
+		Expect(t.Len()).To(Equal(claim.MaxClaims))
+		Expect(ask(t, h, "99999", "99999", "a").State).To(Equal(cleat.ClaimDone))
 	})
 })
 
--- a/claim/entry.go
+++ b/claim/entry.go
@@ -9,8 +9,9 @@
 // Bounds of what is kept.
 const (
 	Retention        = 24 * time.Hour                // Of an outcome, in time during which control runs.
+	LeastRetention   = time.Hour                     // Of an outcome, when claims come faster than the table holds for Retention.
 	MaxRunning       = cleat.MaxDeadline + time.Hour // After which a claim without an outcome is in doubt.
-	MaxClaims        = 100000                        // Further claims are refused.
+	MaxClaims        = 100000                        // Further claims are refused, unless the oldest outcome is past LeastRetention.
 	MaxBodyBytes     = 16 << 10                      // Of one recorded answer; larger bodies are cut.
 	MaxHeaderFields  = 32                            // Of one recorded answer.
 	MaxHeaderBytes   = 4 << 10                       // Of one recorded answer.
--- a/claim/table.go
+++ b/claim/table.go
@@ -248,12 +248,21 @@
 	}
 }
 
+// retention is how long outcomes are kept now: a full table gives up old
+// outcomes rather than refuse new claims.
+func (t *Table) retention() time.Duration {
+	if len(t.claims) >= MaxClaims {
+		return LeastRetention
+	}
+	return Retention
+}
+
 // expire forgets claims whose retention has passed.
 func (t *Table) expire() {
 	for len(t.bodies) > 0 && t.bodies[0].at+Retention <= t.elapsed {
 		t.bodies = t.bodies[1:]
 	}
-	for len(t.settled) > 0 && t.settled[0].at+Retention <= t.elapsed {
+	for len(t.settled) > 0 && t.settled[0].at+t.retention() <= t.elapsed {
 		oldest := t.settled[0]
 		t.settled = t.settled[1:]
 		e, ok := t.claims[oldest.name]
