Hold back answers on a slow link, and end an answer with its last bytes

Cause: an agent queued up to the resume buffer of every running answer on one link at once; with enough of them a slow link looked stuck, was closed, and got all of it again on resumption. Change: answers wait while much is queued on their link; the last bytes wait for the end, which follows at once.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -19,8 +19,12 @@
 // wholeStream checks that text is a stream of n tokens with none missing or doubled.
 func wholeStream(text []byte, n int) {
 	GinkgoHelper()
+	Expect(bytes.Count(text, []byte(`"content":`))).To(Equal(n))
+	rest := text
 	for i := range n {
-		Expect(bytes.Count(text, []byte(`"`+fakes.Token(i)+` "`))).To(Equal(1), "token %d", i)
+		at := bytes.Index(rest, []byte(`"`+fakes.Token(i)+` "`))
+		Expect(at).To(BeNumerically(">=", 0), "token %d is missing or out of order", i)
+		rest = rest[at+1:]
 	}
 	Expect(string(text)).To(HaveSuffix("data: [DONE]\n\n"))
 }
@@ -60,6 +64,15 @@
 		Expect(got.outcome.Usage.InputTokens).To(BeNumerically(">", 3*wire.MaxDataBytes/8))
 	})
 
+	It("sends the last bytes of an answer of known length together with its end", func() {
+		a := startAgent(nil)
+		startPlain(a)
+		e := startEntry(a, 1)
+		attempt := e.dispatch("r1", plainStream(), action)
+		Eventually(e.over(attempt), patience).Should(BeTrue())
+		Expect(e.got(attempt).parts).To(Equal(1))
+	})
+
 	It("delivers a whole answer over a link that is cut again and again", func() {
 		a := startAgent(nil)
 		startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
@@ -113,6 +126,32 @@
 		Eventually(a.Running, patience).Should(BeZero())
 	})
 
+	It("holds back long answers on a slow link and delivers all of them", func() {
+		const answers, tokens = 16, 6000
+		a := startAgent(func(c *agent.Config) {
+			c.Wire.MaxFrameBytes, c.Wire.SendQueueBytes = 2*wire.MaxDataBytes, 1<<20
+			c.BufferBytes = 1 << 20
+		})
+		startEngine(a, func(c *fakes.EngineConfig) {
+			c.Slots, c.PrefillInterval = answers, 500*time.Millisecond
+		})
+		relay, err := fakes.StartRelay(a.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(relay.Close)
+		e := startEntryAt(relay.Addr(), 1)
+		var attempts []cleat.Attempt
+		for i := range answers {
+			attempts = append(attempts, e.dispatch(fmt.Sprint("r", i), modelStream(), func(d *cleat.Dispatch) { d.Body = []byte(chatBody(tokens)) }))
+		}
+		relay.Delay(2 * time.Millisecond)
+		for _, attempt := range attempts {
+			Eventually(e.over(attempt), patience).Should(BeTrue())
+			wholeStream(e.got(attempt).text, tokens)
+		}
+		Expect(a.Counters().Stuck()).To(BeZero())
+		Expect(e.closed()).To(BeZero())
+	})
+
 	It("refuses to resume from what it no longer holds", func() {
 		a := startAgent(nil)
 		startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
--- a/agent/export_test.go
+++ b/agent/export_test.go
@@ -34,7 +34,7 @@
 func (r Run) Room() int { return r.maxBytes - r.kept() }
 
 // Write keeps b and sends it.
-func (r Run) Write(b []byte) error { return r.write(b) }
+func (r Run) Write(b []byte) error { return r.write(b, false) }
 
 // Start keeps the answer's status.
 func (r Run) Start(status int) { r.start(status, nil) }
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -44,6 +44,10 @@
 	err    error
 }
 
+func (r reply) String() string {
+	return fmt.Sprintf("status %d, ran %q, reason %q, %d bytes, error: %v", r.status, r.ran, r.reason, len(r.text), r.err)
+}
+
 func startFleet() *fleet {
 	w := cleat.Workspace{ID: "ring/desk", KeyHashes: []string{cleat.HashKey(callerKey)}}
 	w.Defaults()
--- a/agent/run.go
+++ b/agent/run.go
@@ -110,11 +110,13 @@
 	r.status, r.header = status, header
 }
 
-// write keeps b and sends it; it blocks while the buffer is full.
-func (r *run) write(b []byte) error {
+// write keeps b and sends it; it blocks while the buffer is full. The last bytes
+// of an answer of known length leave together with its end.
+func (r *run) write(b []byte, last bool) error {
 	for len(b) > 0 {
 		n := min(len(b), readBytes)
-		if err := r.writePiece(b[:n]); err != nil {
+		r.awaitRoom()
+		if err := r.writePiece(b[:n], last && n == len(b)); err != nil {
 			return err
 		}
 		b = b[n:]
@@ -122,7 +124,19 @@
 	return nil
 }
 
-func (r *run) writePiece(b []byte) error {
+// awaitRoom waits while the link has much to send, so that many long answers
+// don't look like a peer that reads too slowly.
+func (r *run) awaitRoom() {
+	r.mu.Lock()
+	l := r.link
+	r.mu.Unlock()
+	if l != nil {
+		// Only the end of the run ends the wait early, which the write notices.
+		_ = wire.AwaitRoom(r.ctx, l)
+	}
+}
+
+func (r *run) writePiece(b []byte, hold bool) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for len(r.buf)+len(b) > r.maxBytes && !r.discard && r.ctx.Err() == nil {
@@ -135,7 +149,9 @@
 		return nil
 	}
 	r.buf = append(r.buf, b...)
-	r.flush()
+	if !hold {
+		r.flush()
+	}
 	return nil
 }
 
@@ -148,10 +164,11 @@
 	r.flush()
 }
 
-// flush sends what the present link did not get yet; a failed send waits for a resume.
+// flush sends what the present link did not get yet, as far as it has room; a
+// failed send waits for a resume.
 func (r *run) flush() {
 	for r.link != nil && !r.discard && r.sent < r.end() {
-		if !r.sendPart(min(r.end()-r.sent, wire.MaxDataBytes)) {
+		if !wire.HasRoom(r.link) || !r.sendPart(min(r.end()-r.sent, wire.MaxDataBytes)) {
 			return
 		}
 	}
@@ -160,6 +177,15 @@
 	}
 }
 
+// flushLate sends what found no room on the link before.
+func (r *run) flushLate() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.sent < r.end() || r.outcome != nil {
+		r.flush()
+	}
+}
+
 func (r *run) sendPart(n uint64) bool {
 	p := &cleat.Part{Attempt: r.attempt(), Offset: r.sent, Data: r.buf[r.sent-r.base : r.sent-r.base+n]}
 	if r.sent == 0 {
--- a/agent/suite_test.go
+++ b/agent/suite_test.go
@@ -81,19 +81,24 @@
 	status  int
 	text    []byte
 	doubled int
+	parts   int
 	ended   bool
 	outcome cleat.Outcome
 	refused *cleat.Refused
 }
 
 func startEntry(a *running, incarnation cleat.Incarnation) *entry {
+	return startEntryAt(a.Addr(), incarnation)
+}
+
+func startEntryAt(addr string, incarnation cleat.Incarnation) *entry {
 	e := &entry{
 		peer:    cleat.Peer{Instance: "entry1", Incarnation: incarnation, Role: cleat.RoleEntry, Domain: "d1"},
 		answers: make(map[cleat.Attempt]*answer),
 	}
 	e.dialer = wire.NewDialer(linkConfig(), func() cleat.Peer { return e.peer }, e, quiet())
 	DeferCleanup(e.dialer.Close)
-	e.dialer.Keep(a.Addr())
+	e.dialer.Keep(addr)
 	Eventually(e.isUp, patience).Should(BeTrue())
 	return e
 }
@@ -157,6 +162,7 @@
 
 func (e *entry) take(l cleat.Link, m *cleat.Part) {
 	a := e.answer(m.Attempt)
+	a.parts++
 	if m.Offset != uint64(len(a.text)) {
 		a.doubled++
 		return
--- a/agent/tick.go
+++ b/agent/tick.go
@@ -20,6 +20,7 @@
 		now := a.clock.Now()
 		a.mu.Lock()
 		a.commit(a.table.Tick(now))
+		a.flushLate()
 		if now.Sub(cleaned) >= cleanupInterval {
 			cleaned = now
 			a.clean(now)
@@ -32,6 +33,23 @@
 	}
 }
 
+// flushLate sends on what found no room on its link.
+func (a *Agent) flushLate() {
+	for _, r := range a.listRuns() {
+		r.flushLate()
+	}
+}
+
+func (a *Agent) listRuns() []*run {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := make([]*run, 0, len(a.runs))
+	for _, r := range a.runs {
+		list = append(list, r)
+	}
+	return list
+}
+
 // clean lets go of runs whose entry stayed away and forgets settled ones.
 func (a *Agent) clean(now time.Time) {
 	kept := 0
--- a/agent/work.go
+++ b/agent/work.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"strconv"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -77,10 +78,13 @@
 	run     *run
 	first   bool
 	charged time.Time
+	length  int64 // Of the whole answer; negative when unknown.
+	seen    int64
 }
 
 // Start passes the answer's status and header.
 func (s *sink) Start(status int, header []cleat.HeaderField) error {
+	s.length = answerLength(header)
 	s.run.start(status, header)
 	return nil
 }
@@ -91,7 +95,21 @@
 		s.first = true
 		s.firstToken()
 	}
-	return s.run.write(b)
+	s.seen += int64(len(b))
+	return s.run.write(b, s.seen == s.length)
+}
+
+// answerLength returns the length that the upstream announced, or -1.
+func answerLength(header []cleat.HeaderField) int64 {
+	for _, f := range header {
+		if f.Name != "Content-Length" {
+			continue
+		}
+		if n, err := strconv.ParseInt(f.Value, 10, 64); err == nil {
+			return n
+		}
+	}
+	return -1
 }
 
 // Used charges what the request consumed so far, at most once in an interval.
--- a/wire/config.go
+++ b/wire/config.go
@@ -16,7 +16,8 @@
 // so that short messages never wait behind a long one.
 const MaxDataBytes = 64 << 10
 
-// PacedQueueBytes is how much SendPaced lets wait in a link's queue.
+// PacedQueueBytes is how much may wait in a link's queue before long bodies and
+// answers hold back.
 const PacedQueueBytes = 256 << 10
 
 // Defaults of Config.
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -83,31 +83,42 @@
 	return nil
 }
 
-// SendPaced is Send after waiting until little is queued, for long bodies.
-func (c *Conn) SendPaced(ctx context.Context, m cleat.Message) error {
+// AwaitRoom waits until little is queued or the link is down; it fails only with ctx.
+func (c *Conn) AwaitRoom(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, c.signalRoom)
 	defer stop()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for c.queued() > PacedQueueBytes && !c.closing && ctx.Err() == nil {
 		c.room.Wait()
 	}
-	c.mu.Unlock()
-	if err := ctx.Err(); err != nil {
-		return trace.Wrap(err, "Conn.SendPaced")
-	}
-	return c.Send(m)
+	return trace.Wrap(ctx.Err(), "Conn.AwaitRoom")
 }
 
-// SendPaced sends m over l, waiting for room where the link knows of it.
-func SendPaced(ctx context.Context, l cleat.Link, m cleat.Message) error {
+// AwaitRoom waits until little is queued on l, where the link knows of it.
+func AwaitRoom(ctx context.Context, l cleat.Link) error {
 	if p, ok := l.(interface {
-		SendPaced(ctx context.Context, m cleat.Message) error
+		AwaitRoom(ctx context.Context) error
 	}); ok {
-		return p.SendPaced(ctx, m)
+		return p.AwaitRoom(ctx)
+	}
+	return nil
+}
+
+// SendPaced sends m over l after waiting for room, for long bodies.
+func SendPaced(ctx context.Context, l cleat.Link, m cleat.Message) error {
+	if err := AwaitRoom(ctx, l); err != nil {
+		return err
 	}
 	return l.Send(m)
 }
 
+// HasRoom reports whether little is queued on l, as far as the link knows.
+func HasRoom(l cleat.Link) bool {
+	q, ok := l.(interface{ Queued() int })
+	return !ok || q.Queued() <= PacedQueueBytes
+}
+
 // Close sends what is queued, bounded by a second, and breaks the link.
 func (c *Conn) Close() error {
 	c.mu.Lock()
