--- a/ctrl/bench_test.go
+++ b/ctrl/bench_test.go
@@ -116,6 +116,7 @@
 			idle := traffic(counters, 2*time.Second)
 			c := f.client()
 			change := 0
+			before := total(counters)
 			b.ResetTimer()
 			for b.Loop() {
 				change++
@@ -125,6 +126,8 @@
 				}
 				awaitAll(nodes, r.Revision)
 			}
+			bytes := float64(total(counters)-before) - idle*b.Elapsed().Seconds()
+			b.ReportMetric(bytes/float64(b.N*count), "B/change/node")
 			b.ReportMetric(idle/float64(count), "idle-B/s/node")
 			b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N), "ms/change")
 		})
--- a/quorum/fault_test.go
+++ b/quorum/fault_test.go
@@ -196,6 +196,18 @@
 		}
 	})
 
+	It("refuses a membership change that could neither be committed nor taken back", func() {
+		c, leader := start(3, 0, 19)
+		lost := other(c, leader)
+		lost.Crash()
+		c.Run(2 * time.Second)
+		kept := other(c, leader, lost).Status().Replica
+		var result error
+		leader.Change(quorum.MemberChange{Kind: quorum.ChangeRemove, Member: quorum.Member{Replica: kept}}, func(err error) { result = err })
+		Expect(result).To(MatchError(ContainSubstring("only 1 of the voters left answer")))
+		settle(c)
+	})
+
 	It("takes racing membership changes one at a time", func() {
 		c, leader := start(5, 1, 17)
 		members := leader.Status().Members
