--- a/quorum/join.go
+++ b/quorum/join.go
@@ -49,14 +49,25 @@
 	slices.SortFunc(r.candidates, func(a, b Candidate) int { return compareInstances(a.Instance, b.Instance) })
 }
 
-// Candidate returns the replica of an instance that announced itself lately.
-func (r *Replica) Candidate(now time.Time, id cleat.InstanceID) (Candidate, bool) {
+// recentCandidates returns a copy of the candidates that announced themselves lately.
+func (r *Replica) recentCandidates(now time.Time) []Candidate {
+	var recent []Candidate
 	for _, c := range r.candidates {
-		if c.Instance == id && now.Sub(c.heard) < candidateMaxAge {
-			return c, true
+		if now.Sub(c.heard) < candidateMaxAge {
+			recent = append(recent, c)
 		}
 	}
-	return Candidate{}, false
+	return recent
+}
+
+// Candidate returns the replica of an instance that announced itself lately.
+func (r *Replica) Candidate(now time.Time, id cleat.InstanceID) (Candidate, bool) {
+	recent := r.recentCandidates(now)
+	i := slices.IndexFunc(recent, func(c Candidate) bool { return c.Instance == id })
+	if i < 0 {
+		return Candidate{}, false
+	}
+	return recent[i], true
 }
 
 // form makes a new log once all first instances are there and belong to none.
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -1,7 +1,6 @@
 package quorum
 
 import (
-	"slices"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -59,7 +58,7 @@
 		Lease:      lease,
 		Halted:     c.halted,
 		Followers:  c.followers(now),
-		Candidates: slices.Clone(r.candidates),
+		Candidates: r.recentCandidates(now),
 	}
 }
 
