Count refusals before the table in a workspace's status

cleatctl status shows refusals by reason, and left out those that an entry makes before a request waits: malformed, too large, no rule, claims.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,7 @@
 	ln      net.Listener
 	server  *http.Server
 	held    *budget
+	early   *earlyRefusals
 	links   *links
 	calls   *calls
 	long    chan longSend
@@ -93,6 +94,7 @@
 		metrics: p.Metrics,
 		ln:      ln,
 		held:    &budget{max: cfg.MaxHeldBytes},
+		early:   newEarlyRefusals(),
 		links:   newLinks(),
 		calls:   &calls{byID: make(map[cleat.RequestID]*call)},
 		long:    make(chan longSend, longQueueLength),
@@ -153,13 +155,6 @@
 	return true, ""
 }
 
-// Status returns what this entry knows of each workspace.
-func (e *Entry) Status() []cleat.WorkspaceStatus {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.table.Status()
-}
-
 // Abandoned says what a Close now would cut off.
 func (e *Entry) Abandoned() string {
 	e.mu.Lock()
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -166,6 +166,9 @@
 			Expect(d.Ran).To(Equal(c.ran))
 			Expect(string(d.Request)).To(Equal(got.header.Get(entry.HeaderRequest)))
 			Expect(d.Message).NotTo(BeEmpty())
+			if c.reason != cleat.ReasonUnauthorised {
+				Expect(r.entry.Status()).To(HaveExactElements(HaveField("Refused", HaveKeyWithValue(c.reason, uint64(1)))))
+			}
 			if c.records == "" {
 				Expect(r.claims.recorded()).To(BeEmpty())
 			} else {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -59,7 +59,7 @@
 
 func (x *exchange) run() {
 	if p := x.accept(); p != nil {
-		x.refuse(p)
+		x.refuseEarly(p)
 		return
 	}
 	defer x.e.held.give(len(x.call.body))
@@ -176,7 +176,7 @@
 func (x *exchange) claim() bool {
 	answer, p := x.e.claim(x.call)
 	if p != nil {
-		x.refuse(p)
+		x.refuseEarly(p)
 		return true
 	}
 	if answer == nil {
@@ -449,6 +449,12 @@
 	}
 }
 
+// refuseEarly refuses a request that the table never saw.
+func (x *exchange) refuseEarly(p *problem) {
+	x.e.early.add(x.workspace, p.Reason)
+	x.refuse(p)
+}
+
 // refuse answers with a refusal; nothing was answered yet.
 func (x *exchange) refuse(p *problem) {
 	if x.started {
