order: never take the last replica of a model, nor load one twice

Cause, seen while reading: two models short of replicas in the same decision could each take an upstream of a third one, which lost both of its replicas; and a load that was answered counted for nothing until the upstream announced the model, so the least replicas were ordered once more elsewhere.

--- a/order/order_test.go
+++ b/order/order_test.go
@@ -104,6 +104,34 @@
 		Expect(newTable().Decide(start, 1, v)).To(BeEmpty())
 	})
 
+	It("does not take the last replica of a model for two others at once", func() {
+		t := newTable()
+		v := view(upstream("a", "d1", "old"), upstream("b", "d2", "old"))
+		v.Placements = []order.Placement{{Model: "m", Min: 1, Max: 1}, {Model: "n", Min: 1, Max: 1}, {Model: "old", Min: 1, Max: 2}}
+		v.LoadsPerMinute = 600
+		t.Decide(start, 1, v)
+		t.Decide(start.Add(time.Minute), 1, v)
+		Expect(t.Decide(start.Add(order.DefaultLowerAfter), 1, v)).To(HaveLen(1))
+		Expect(t.Decide(start.Add(order.DefaultLowerAfter+time.Second), 1, v)).To(BeEmpty())
+		Expect(t.Pending()).To(HaveLen(1))
+	})
+
+	It("does not load a model again before the upstream had time to announce it", func() {
+		t := newTable()
+		v := view(upstream("a", "d1"), upstream("b", "d2"))
+		v.LoadsPerMinute = 600
+		orders := t.Decide(start, 1, v)
+		Expect(orders).To(HaveLen(1))
+		t.Result(start, done(orders[0]))
+		Expect(t.Pending()).To(BeEmpty())
+		now := start.Add(order.DefaultAnnounceAfter - 1)
+		Expect(t.Decide(now, 1, v)).To(BeEmpty())
+		v.Upstreams[0].Models = []cleat.ModelID{"m"}
+		Expect(t.Decide(now, 1, v)).To(BeEmpty())
+		v.Upstreams[0].Models = nil
+		Expect(t.Decide(now.Add(order.DefaultAnnounceAfter), 1, v)).To(HaveLen(1))
+	})
+
 	It("keeps one load in flight in each failure domain and to the store's rate", func() {
 		t := newTable()
 		var ups []order.Upstream
