--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -331,6 +331,7 @@
 		Expect(late.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(late.refusal().Code).To(Equal(cleat.ReasonShutdown))
 		Expect(late.refusal().Ran).To(Equal(cleat.RanNo))
+		Expect(late.header.Get("Retry-After")).To(Equal("1"))
 		Consistently(r.done, "30ms").ShouldNot(Receive())
 		close(release)
 		for _, c := range running {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -46,7 +46,9 @@
 		received: e.clock.Now(),
 	}
 	if !e.gate.enter() {
-		x.refuse(refused(cleat.ReasonShutdown, ""))
+		p := refused(cleat.ReasonShutdown, "")
+		p.RetryAfter = time.Second
+		x.refuse(p)
 		return
 	}
 	defer e.gate.leave()
