--- a/cmd/gauge/bench/bench_test.go
+++ b/cmd/gauge/bench/bench_test.go
@@ -73,6 +73,49 @@
 	}
 })
 
+// mean plays a policy with three seeds and returns the mean gap and utilisation.
+func mean(deployment, faults string, name bench.PolicyName) (gap, use float64) {
+	const seeds = 3
+	for seed := range int64(seeds) {
+		o := options(deployment, faults, seed+1)
+		o.Duration = 90 * time.Second
+		r := bench.Run(o, name)
+		gap += r.GapLargest / seeds
+		use += r.Utilisation / seeds
+	}
+	return gap, use
+}
+
+var _ = Describe("Targets", func() {
+	for _, deployment := range []string{"pastor-andino", "lade"} {
+		It("hold without faults at "+deployment, func() {
+			gap, use := mean(deployment, "", bench.PolicyOurs)
+			least, most := mean(deployment, "", bench.PolicyOracle)
+			Expect(gap).To(BeNumerically("<=", 1.5*least))
+			Expect(use).To(BeNumerically(">=", 0.97*most))
+			Expect(use).To(BeNumerically(">=", 0.97))
+			local, _ := mean(deployment, "", bench.PolicyLocalFair)
+			Expect(local).To(BeNumerically(">", gap))
+		})
+
+		for _, faults := range []string{"partition@20s-30s", "restart-control@25s", "lossy@20s-40s,slow-upstream@25s-45s"} {
+			It("hold under "+faults+" at "+deployment, func() {
+				gap, _ := mean(deployment, faults, bench.PolicyOurs)
+				least, _ := mean(deployment, faults, bench.PolicyOracle)
+				Expect(gap).To(BeNumerically("<=", 4*least))
+			})
+		}
+
+		It("hold for control traffic at "+deployment, func() {
+			r := bench.Run(options(deployment, "", 1), bench.PolicyOurs)
+			Expect(r.Traffic).NotTo(BeEmpty())
+			for _, t := range r.Traffic {
+				Expect(t.Worst).To(BeNumerically("<=", 4000), string(t.Role))
+			}
+		})
+	}
+})
+
 var _ = Describe("ParseFaults", func() {
 	bad := map[string]string{
 		"unknown kind": "fire@1s-2s",
