ledger: repeat the whole until a relay answers; random runs end when idle

Links end with their process, so that a message of a former life is not delivered; the harness now keeps to that. Change: an agent's reports are whole until it hears sums; a named spec; the harness drops messages of former lives.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -154,7 +154,7 @@
 		a.reported, a.at = cell{a.service, a.flying}, now
 		m.Totals = append(m.Totals, a.total(b.whole))
 	}
-	b.whole = false
+	b.whole = b.relay == "" // Until a relay answers.
 	return m
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -122,6 +122,7 @@
 var _ = Describe("Book", func() {
 	It("reports small changes late and large ones at once", func() {
 		b := ledger.NewBook(cleat.Peer{Instance: "a", Incarnation: 5})
+		b.Sums(start, &cleat.LedgerSums{Relay: "r", Incarnation: 1, Seq: 1, Seen: 1, Whole: true})
 		a := b.Account("w")
 		b.Charge(a, 500)
 		Expect(b.Report(start).Totals).To(HaveLen(1))
@@ -132,6 +133,15 @@
 		Expect(b.Report(start.Add(ledger.RefreshInterval + time.Second)).Totals[0].Flying).To(Equal(400.0))
 	})
 
+	It("repeats the whole until a relay answers, so that a lost first report does no harm", func() {
+		b := ledger.NewBook(cleat.Peer{Instance: "a", Incarnation: 5})
+		Expect(b.Report(start).Whole).To(BeTrue())
+		Expect(b.Report(start.Add(time.Second)).Whole).To(BeTrue())
+		b.Sums(start, &cleat.LedgerSums{Relay: "r", Incarnation: 1, Seq: 1, Seen: 2, Whole: true})
+		Expect(b.Report(start.Add(2*time.Second)).Whole).To(BeTrue(), "a new relay gets the whole")
+		Expect(b.Report(start.Add(3 * time.Second))).To(BeNil())
+	})
+
 	It("is ready only after whole sums without a gap", func() {
 		b := ledger.NewBook(cleat.Peer{Instance: "a", Incarnation: 5})
 		b.Sums(start, &cleat.LedgerSums{Relay: "r", Incarnation: 1, Seq: 1, Seen: 1, Whole: true})
--- a/queue/fleet_test.go
+++ b/queue/fleet_test.go
@@ -318,8 +318,24 @@
 		if control && f.jitter > 0 {
 			delay += time.Duration(f.rnd.Int63n(int64(f.jitter)))
 		}
-		f.after(delay, func() { f.deliver(from, to, m) })
+		life := f.incarnationOf(from)
+		f.after(delay, func() {
+			if f.incarnationOf(from) == life { // A link ends with its process.
+				f.deliver(from, to, m)
+			}
+		})
+	}
+}
+
+// incarnationOf returns the incarnation of an instance.
+func (f *fleet) incarnationOf(id cleat.InstanceID) cleat.Incarnation {
+	if a, ok := f.agents[id]; ok {
+		return a.peer.Incarnation
+	}
+	if e, ok := f.entries[id]; ok {
+		return e.peer.Incarnation
 	}
+	return 0
 }
 
 func (f *fleet) deliver(from, to cleat.InstanceID, m cleat.Message) {
--- a/queue/random_test.go
+++ b/queue/random_test.go
@@ -82,7 +82,25 @@
 			f.heal(e, a)
 		}
 	}
-	f.run(15 * time.Minute)
+	for waited := time.Duration(0); waited < 15*time.Minute && !f.idle(); waited += 5 * time.Second {
+		f.run(5 * time.Second)
+	}
+	f.run(5 * time.Second)
+}
+
+// idle reports whether no table has anything waiting or running.
+func (f *fleet) idle() bool {
+	for _, n := range f.entries {
+		if n.table.Waiting()+n.table.Running() > 0 {
+			return false
+		}
+	}
+	for _, n := range f.agents {
+		if n.table.Running() > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func (f *fleet) check(t *rapid.T, repeatable map[cleat.RequestID]bool, lost bool) {
