--- a/ctrl/bench_test.go
+++ b/ctrl/bench_test.go
@@ -32,6 +32,7 @@
 	}
 	for i, id := range first {
 		ins := newInstance(string(id), first, f.folder, f.controlFile())
+		ins.cfg.OrderInterval = 0
 		disk := fdisk.New(rand.New(rand.NewSource(int64(i))))
 		disk.SetSyncDelay(syncDelay)
 		ins.cfg.Disk = disk
@@ -116,6 +117,7 @@
 			idle := traffic(counters, 2*time.Second)
 			c := f.client()
 			change := 0
+			before := total(counters)
 			b.ResetTimer()
 			for b.Loop() {
 				change++
@@ -125,6 +127,8 @@
 				}
 				awaitAll(nodes, r.Revision)
 			}
+			bytes := float64(total(counters)-before) - idle*b.Elapsed().Seconds()
+			b.ReportMetric(bytes/float64(b.N*count), "B/change/node")
 			b.ReportMetric(idle/float64(count), "idle-B/s/node")
 			b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N), "ms/change")
 		})
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -232,10 +232,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(n).To(Equal(int64(total)))
 		Eventually(sent, patience).Should(Receive())
-		Eventually(func() bool {
-			acks := messages[*cleat.PartAck](a)
-			return acks[len(acks)-1].Done
-		}, patience).Should(BeTrue())
+		Eventually(func() []*cleat.PartAck { return messages[*cleat.PartAck](a) }, patience).Should(ContainElement(
+			And(HaveField("Done", true), HaveField("Offset", uint64(total)))))
 	})
 
 	It("drops what an agent sends beyond its window, and asks for it again", func() {
@@ -333,6 +331,7 @@
 		Expect(late.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(late.refusal().Code).To(Equal(cleat.ReasonShutdown))
 		Expect(late.refusal().Ran).To(Equal(cleat.RanNo))
+		Expect(late.header.Get("Retry-After")).To(Equal("1"))
 		Consistently(r.done, "30ms").ShouldNot(Receive())
 		close(release)
 		for _, c := range running {
