ctrl: refuse a change of the log's members where no leader is

Cause: after a leader was lost and came back with an empty folder, others still took it for the leader and passed the change on to it; it waited 12 s for a replica to make itself known, and the operator's client ran out of time. An instance that does not lead now says so at once, also when leadership moves on midway, and the client asks again.

--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -13,7 +13,7 @@
 	absent := make(map[claim.Holder]time.Time)
 	var ticked time.Time
 	for sleep(ctx, r.cfg.OrderInterval) {
-		if leader, ok := r.host.Leader(); !ok || leader != r.self.Instance {
+		if !r.leads() {
 			clear(absent)
 			continue
 		}
--- a/ctrl/metrics.go
+++ b/ctrl/metrics.go
@@ -58,7 +58,7 @@
 		running += n
 	}
 	leads := 0.0
-	if leader, ok := r.host.Leader(); ok && leader == r.self.Instance {
+	if r.leads() {
 		leads = 1
 	}
 	r.mu.Lock()
--- a/ctrl/replicas.go
+++ b/ctrl/replicas.go
@@ -61,7 +61,7 @@
 	reply := &cleat.ReplicaChanged{Call: m.Call}
 	if err := r.changeReplicas(ctx, m.Action, m.Instance); err != nil {
 		reply.Problem = trace.UserMessage(err)
-		reply.Unknown = trace.IsConnectionProblem(err)
+		reply.Unknown = trace.IsConnectionProblem(err) || trace.IsLimitExceeded(err)
 	}
 	r.post(l, reply)
 }
@@ -69,6 +69,9 @@
 // changeReplicas does the change at the leader, one committed step at a time;
 // done again, it goes on where it was cut off.
 func (r *Role) changeReplicas(ctx context.Context, action cleat.ReplicaAction, id cleat.InstanceID) error {
+	if !r.leads() {
+		return notLeader("Role.changeReplicas")
+	}
 	switch action {
 	case cleat.ReplicaAdd:
 		return r.addReplica(ctx, id, false)
@@ -80,6 +83,17 @@
 	return trace.BadParameter("Role.changeReplicas: unknown action %q", action)
 }
 
+// leads reports whether this instance is the leader, as far as it knows.
+func (r *Role) leads() bool {
+	leader, ok := r.host.Leader()
+	return ok && leader == r.self.Instance
+}
+
+// notLeader is a change cut off because another instance leads; it may be asked again.
+func notLeader(where string) error {
+	return trace.LimitExceeded("%s: this instance does not lead", where)
+}
+
 // addReplica adds an instance's new replica without a vote, waits until it has
 // the log, takes the lost one out if it is to be replaced, and only then gives
 // the new one its vote: a loss in between costs no more than without the change.
@@ -119,7 +133,7 @@
 
 // announced waits until an instance makes a replica known that is no member.
 func (r *Role) announced(ctx context.Context, id cleat.InstanceID) error {
-	for {
+	for r.leads() {
 		s := r.host.Status()
 		for _, other := range s.Candidates {
 			if other.Instance == id && !isMember(s.Members, other.Replica) {
@@ -130,6 +144,7 @@
 			return trace.NotFound("Role.announced: %s has not made a new replica known; look whether it is a member already", id)
 		}
 	}
+	return notLeader("Role.announced")
 }
 
 func isMember(members []quorum.Member, id quorum.ReplicaID) bool {
@@ -148,7 +163,7 @@
 // caughtUp waits until a replica has all that was committed when it was called.
 func (r *Role) caughtUp(ctx context.Context, id quorum.ReplicaID) error {
 	goal := r.host.Status().Commit
-	for {
+	for r.leads() {
 		for _, f := range r.host.Status().Followers {
 			if f.Replica == id && f.Match >= goal {
 				return nil
@@ -158,6 +173,7 @@
 			return trace.ConnectionProblem(ctx.Err(), "Role.caughtUp: %s has not caught up; ask again", id)
 		}
 	}
+	return notLeader("Role.caughtUp")
 }
 
 // removeReplicas takes an instance's replicas out, but for one.
@@ -182,7 +198,7 @@
 func (r *Role) retryStep(ctx context.Context, step func() error) error {
 	for {
 		err := step()
-		if err == nil || !trace.IsLimitExceeded(err) {
+		if err == nil || !trace.IsLimitExceeded(err) || !r.leads() {
 			return err
 		}
 		if !sleep(ctx, catchUpInterval) {
