ledger: an agent takes sums again after its link to the relay broke

Cause: Unlink forgot the numbers of an agent's sums too, so that the next ones began at one again and the agent dropped them as old, for as many as it had heard before. Seen by the new spec: 500 units known of 900 after the link came back. Change: the numbers go on; an agent takes whole sums whatever their number.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -225,7 +225,7 @@
 	case m.Relay != b.relay || m.Incarnation > b.life:
 		b.relay, b.life = m.Relay, m.Incarnation
 		b.whole, b.unbroken = true, false
-	case m.Incarnation < b.life || m.Seq <= b.heard:
+	case m.Incarnation < b.life || (m.Seq <= b.heard && !m.Whole):
 		return false
 	case m.Seq > b.heard+1 && !m.Whole:
 		b.whole, b.unbroken = true, false
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -142,6 +142,20 @@
 		Expect(b.Report(start.Add(3 * time.Second))).To(BeNil())
 	})
 
+	It("takes sums again after its link to the relay broke", func() {
+		r, b := newRelay(1), ledger.NewBook(cleat.Peer{Instance: "a", Incarnation: 5})
+		at := start
+		for i := range 5 {
+			at = at.Add(ledger.ReportInterval)
+			r.Report(at, report("b", 5, uint64(i+1), total("w", float64(100*(i+1)), 0)))
+			b.Sums(at, r.Sums(at, "a"))
+		}
+		r.Unlink("a")
+		r.Report(at, report("b", 5, 6, total("w", 900, 0)))
+		b.Sums(at, r.Sums(at, "a"))
+		Expect(b.Account("w").Received()).To(Equal(900.0))
+	})
+
 	It("is ready only after whole sums without a gap", func() {
 		b := ledger.NewBook(cleat.Peer{Instance: "a", Incarnation: 5})
 		b.Sums(start, &cleat.LedgerSums{Relay: "r", Incarnation: 1, Seq: 1, Seen: 1, Whole: true})
--- a/ledger/relay.go
+++ b/ledger/relay.go
@@ -164,9 +164,12 @@
 	return list
 }
 
-// Unlink forgets what an agent was told, because its link broke.
+// Unlink forgets what an agent was told, because its link broke; the numbers of
+// its sums go on, so that it takes the next ones.
 func (r *Relay) Unlink(agent cleat.InstanceID) {
-	delete(r.feeds, agent)
+	if f, ok := r.feeds[agent]; ok {
+		f.reset()
+	}
 }
 
 // Forget folds the totals of ended incarnations into the sums' base and drops
