--- a/admit/config.go
+++ b/admit/config.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
 )
 
 // Config sets the targets and the pace of a Limiter.
@@ -23,39 +25,17 @@
 
 // Defaults sets what is left out.
 func (c *Config) Defaults() {
-	if c.FirstTokenTarget == 0 {
-		c.FirstTokenTarget = 320 * time.Millisecond
-	}
-	if c.TokenGapTarget == 0 {
-		c.TokenGapTarget = 30 * time.Millisecond
-	}
-	if c.MissedShare == 0 {
-		c.MissedShare = 0.05
-	}
-	if c.Window == 0 {
-		c.Window = time.Second
-	}
-	if c.HoldTime == 0 {
-		c.HoldTime = 30 * time.Second
-	}
-	if c.MinSamples == 0 {
-		c.MinSamples = 8
-	}
-	if c.StartLimit == 0 {
-		c.StartLimit = 8
-	}
-	if c.MaxLimit == 0 {
-		c.MaxLimit = 256
-	}
-	if c.FailuresToOpen == 0 {
-		c.FailuresToOpen = 3
-	}
-	if c.ProbeMin == 0 {
-		c.ProbeMin = 500 * time.Millisecond
-	}
-	if c.ProbeMax == 0 {
-		c.ProbeMax = 10 * time.Second
-	}
+	cleat.SetDefault(&c.FirstTokenTarget, 320*time.Millisecond)
+	cleat.SetDefault(&c.TokenGapTarget, 30*time.Millisecond)
+	cleat.SetDefault(&c.MissedShare, 0.05)
+	cleat.SetDefault(&c.Window, time.Second)
+	cleat.SetDefault(&c.HoldTime, 30*time.Second)
+	cleat.SetDefault(&c.MinSamples, 8)
+	cleat.SetDefault(&c.StartLimit, 8)
+	cleat.SetDefault(&c.MaxLimit, 256)
+	cleat.SetDefault(&c.FailuresToOpen, 3)
+	cleat.SetDefault(&c.ProbeMin, 500*time.Millisecond)
+	cleat.SetDefault(&c.ProbeMax, 10*time.Second)
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
--- a/agent/config.go
+++ b/agent/config.go
@@ -52,25 +52,13 @@
 	c.Wire.Defaults()
 	c.Slots.Defaults()
 	c.Control.Defaults()
-	if c.Listen == "" {
-		c.Listen = "127.0.0.1:0"
-	}
-	if c.HTTP == "" {
-		c.HTTP = "127.0.0.1:0"
-	}
-	if c.BufferBytes == 0 {
-		c.BufferBytes = DefaultBufferBytes
-	}
-	setDuration(&c.ResumeGrace, DefaultResumeGrace)
-	setDuration(&c.FinishGrace, DefaultFinishGrace)
-	setDuration(&c.StallTimeout, DefaultStallTimeout)
-	setDuration(&c.OrderTimeout, DefaultOrderTimeout)
-}
-
-func setDuration(field *time.Duration, d time.Duration) {
-	if *field == 0 {
-		*field = d
-	}
+	cleat.SetDefault(&c.Listen, "127.0.0.1:0")
+	cleat.SetDefault(&c.HTTP, "127.0.0.1:0")
+	cleat.SetDefault(&c.BufferBytes, DefaultBufferBytes)
+	cleat.SetDefault(&c.ResumeGrace, DefaultResumeGrace)
+	cleat.SetDefault(&c.FinishGrace, DefaultFinishGrace)
+	cleat.SetDefault(&c.StallTimeout, DefaultStallTimeout)
+	cleat.SetDefault(&c.OrderTimeout, DefaultOrderTimeout)
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -60,26 +60,20 @@
 	c.Wire.Defaults()
 	c.Member.Defaults()
 	c.Order.Defaults()
-	setDefault(&c.PushInterval, DefaultPushInterval)
-	setDefault(&c.MemberInterval, DefaultMemberInterval)
-	setDefault(&c.SumsInterval, DefaultSumsInterval)
-	setDefault(&c.ConfirmInterval, DefaultConfirmInterval)
-	setDefault(&c.OrderInterval, DefaultOrderInterval)
-	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
-	setDefault(&c.ChangeTimeout, DefaultChangeTimeout)
-	setDefault(&c.HolderLostAfter, DefaultHolderLostAfter)
-	setDefault(&c.ClaimTick, DefaultClaimTick)
+	cleat.SetDefault(&c.PushInterval, DefaultPushInterval)
+	cleat.SetDefault(&c.MemberInterval, DefaultMemberInterval)
+	cleat.SetDefault(&c.SumsInterval, DefaultSumsInterval)
+	cleat.SetDefault(&c.ConfirmInterval, DefaultConfirmInterval)
+	cleat.SetDefault(&c.OrderInterval, DefaultOrderInterval)
+	cleat.SetDefault(&c.ClaimTimeout, DefaultClaimTimeout)
+	cleat.SetDefault(&c.ChangeTimeout, DefaultChangeTimeout)
+	cleat.SetDefault(&c.HolderLostAfter, DefaultHolderLostAfter)
+	cleat.SetDefault(&c.ClaimTick, DefaultClaimTick)
 	if len(c.First) == 0 && len(c.Join) == 0 && len(c.Controls) == 0 && c.ControlFile == "" {
 		c.First = []cleat.InstanceID{c.ID}
 	}
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Validate returns a trace.BadParameter error that names the first wrong field.
 func (c *Config) Validate() error {
 	if c.ID == "" {
--- a/entry/config.go
+++ b/entry/config.go
@@ -43,27 +43,20 @@
 
 // Defaults sets what was left out.
 func (c *Config) Defaults() {
-	setDefault(&c.ReadHeaderTimeout, DefaultReadHeaderTimeout)
-	setDefault(&c.BodyTimeout, DefaultBodyTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
-	setDefault(&c.TickInterval, DefaultTickInterval)
-	setDefault(&c.MaxHeldBytes, DefaultMaxHeldBytes)
-	setDefault(&c.MaxPendingBytes, DefaultMaxPendingBytes)
-	setDefault(&c.AckBytes, DefaultAckBytes)
-	setDefault(&c.MaxRecordBytes, DefaultMaxRecordBytes)
-	setDefault(&c.Workers, DefaultWorkers)
+	cleat.SetDefault(&c.ReadHeaderTimeout, DefaultReadHeaderTimeout)
+	cleat.SetDefault(&c.BodyTimeout, DefaultBodyTimeout)
+	cleat.SetDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	cleat.SetDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	cleat.SetDefault(&c.ClaimTimeout, DefaultClaimTimeout)
+	cleat.SetDefault(&c.TickInterval, DefaultTickInterval)
+	cleat.SetDefault(&c.MaxHeldBytes, DefaultMaxHeldBytes)
+	cleat.SetDefault(&c.MaxPendingBytes, DefaultMaxPendingBytes)
+	cleat.SetDefault(&c.AckBytes, DefaultAckBytes)
+	cleat.SetDefault(&c.MaxRecordBytes, DefaultMaxRecordBytes)
+	cleat.SetDefault(&c.Workers, DefaultWorkers)
 	c.Queue.Defaults()
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Validate returns a trace.BadParameter error that names the first wrong field.
 func (c *Config) Validate() error {
 	if c.ReadHeaderTimeout < 0 || c.BodyTimeout < 0 || c.WriteTimeout < 0 || c.IdleTimeout < 0 {
--- a/fleet.go
+++ b/fleet.go
@@ -16,18 +16,10 @@
 
 // Defaults sets what the operator left out.
 func (l *Limits) Defaults() {
-	if l.MaxBodyBytes == 0 {
-		l.MaxBodyBytes = 8 << 20
-	}
-	if l.MaxHeaderBytes == 0 {
-		l.MaxHeaderBytes = 32 << 10
-	}
-	if l.MaxWaiting == 0 {
-		l.MaxWaiting = 10000
-	}
-	if l.RetryRatio == 0 {
-		l.RetryRatio = 0.1
-	}
+	SetDefault(&l.MaxBodyBytes, 8<<20)
+	SetDefault(&l.MaxHeaderBytes, 32<<10)
+	SetDefault(&l.MaxWaiting, 10000)
+	SetDefault(&l.RetryRatio, 0.1)
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
--- a/node/config.go
+++ b/node/config.go
@@ -31,22 +31,16 @@
 
 // Defaults sets what was left out.
 func (c *Config) Defaults() {
-	setDefault(&c.Heartbeat, DefaultHeartbeat)
-	setDefault(&c.StatusInterval, DefaultStatusInterval)
-	setDefault(&c.ConfirmTimeout, DefaultConfirmTimeout)
-	setDefault(&c.RetryInterval, DefaultRetryInterval)
-	setDefault(&c.AbandonAfter, DefaultAbandonAfter)
+	cleat.SetDefault(&c.Heartbeat, DefaultHeartbeat)
+	cleat.SetDefault(&c.StatusInterval, DefaultStatusInterval)
+	cleat.SetDefault(&c.ConfirmTimeout, DefaultConfirmTimeout)
+	cleat.SetDefault(&c.RetryInterval, DefaultRetryInterval)
+	cleat.SetDefault(&c.AbandonAfter, DefaultAbandonAfter)
 	if c.Register == nil {
 		c.Register = func() cleat.Register { return cleat.Register{} }
 	}
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Validate returns a trace.BadParameter error that names the first wrong field.
 func (c *Config) Validate() error {
 	if len(c.Controls) == 0 {
--- a/order/config.go
+++ b/order/config.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
 )
 
 // Defaults of Config.
@@ -33,18 +35,12 @@
 	if c.RequestsPerReplica == 0 {
 		c.RequestsPerReplica = DefaultRequestsPerReplica
 	}
-	setDefault(&c.RaiseAfter, DefaultRaiseAfter)
-	setDefault(&c.LowerAfter, DefaultLowerAfter)
-	setDefault(&c.ResendAfter, DefaultResendAfter)
-	setDefault(&c.GiveUpAfter, DefaultGiveUpAfter)
-	setDefault(&c.Backoff, DefaultBackoff)
-	setDefault(&c.AnnounceAfter, DefaultAnnounceAfter)
-}
-
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
+	cleat.SetDefault(&c.RaiseAfter, DefaultRaiseAfter)
+	cleat.SetDefault(&c.LowerAfter, DefaultLowerAfter)
+	cleat.SetDefault(&c.ResendAfter, DefaultResendAfter)
+	cleat.SetDefault(&c.GiveUpAfter, DefaultGiveUpAfter)
+	cleat.SetDefault(&c.Backoff, DefaultBackoff)
+	cleat.SetDefault(&c.AnnounceAfter, DefaultAnnounceAfter)
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
--- a/queue/config.go
+++ b/queue/config.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
 )
 
 // Config sets an entry's pace and bounds.
@@ -33,31 +35,27 @@
 
 // Defaults sets what is left out.
 func (c *Config) Defaults() {
-	setDuration(&c.SecondAfter, 30*time.Millisecond)
-	setDuration(&c.WidenAfter, time.Second)
-	setDuration(&c.OfferInterval, 500*time.Millisecond)
-	setDuration(&c.RefreshInterval, 30*time.Second)
-	setDuration(&c.ReviewInterval, 500*time.Millisecond)
-	setDuration(&c.ResumeGrace, 5*time.Second)
-	setDuration(&c.UpstreamGrace, 5*time.Second)
-	setDuration(&c.RetryDelay, 50*time.Millisecond)
-	setDuration(&c.MaxRetryDelay, 5*time.Second)
-	setDuration(&c.TrustRefusals, 10*time.Minute)
-	setDuration(&c.PaceWindow, 10*time.Second)
-	setDuration(&c.MaxRetryAfter, time.Minute)
-	setInt(&c.Spread, 3)
-	setInt(&c.MaxSpread, 24)
-	setInt(&c.MaxAttempts, 4)
-	setInt(&c.ReorderWindow, 8)
-	setInt(&c.MaxSkips, 8)
-	setInt(&c.MaxPrefixes, 4096)
-	setInt(&c.DefaultMaxQueue, 1000)
-	if c.PaceSamples == 0 {
-		c.PaceSamples = 5
-	}
-	if c.LateFactor == 0 {
-		c.LateFactor = 1.5
-	}
+	cleat.SetDefault(&c.SecondAfter, 30*time.Millisecond)
+	cleat.SetDefault(&c.WidenAfter, time.Second)
+	cleat.SetDefault(&c.OfferInterval, 500*time.Millisecond)
+	cleat.SetDefault(&c.RefreshInterval, 30*time.Second)
+	cleat.SetDefault(&c.ReviewInterval, 500*time.Millisecond)
+	cleat.SetDefault(&c.ResumeGrace, 5*time.Second)
+	cleat.SetDefault(&c.UpstreamGrace, 5*time.Second)
+	cleat.SetDefault(&c.RetryDelay, 50*time.Millisecond)
+	cleat.SetDefault(&c.MaxRetryDelay, 5*time.Second)
+	cleat.SetDefault(&c.TrustRefusals, 10*time.Minute)
+	cleat.SetDefault(&c.PaceWindow, 10*time.Second)
+	cleat.SetDefault(&c.MaxRetryAfter, time.Minute)
+	cleat.SetDefault(&c.Spread, 3)
+	cleat.SetDefault(&c.MaxSpread, 24)
+	cleat.SetDefault(&c.MaxAttempts, 4)
+	cleat.SetDefault(&c.ReorderWindow, 8)
+	cleat.SetDefault(&c.MaxSkips, 8)
+	cleat.SetDefault(&c.MaxPrefixes, 4096)
+	cleat.SetDefault(&c.DefaultMaxQueue, 1000)
+	cleat.SetDefault(&c.PaceSamples, 5)
+	cleat.SetDefault(&c.LateFactor, 1.5)
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
@@ -76,15 +74,3 @@
 	}
 	return nil
 }
-
-func setDuration(d *time.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = v
-	}
-}
-
-func setInt(n *int, v int) {
-	if *n == 0 {
-		*n = v
-	}
-}
--- a/quorum/config.go
+++ b/quorum/config.go
@@ -38,22 +38,22 @@
 
 // Defaults sets what was left out.
 func (c *Config) Defaults() {
-	setDefault(&c.TickInterval, 20*time.Millisecond)
-	setDefault(&c.Heartbeat, 100*time.Millisecond)
-	setDefault(&c.ElectionTimeout, 600*time.Millisecond)
-	setDefault(&c.Lease, c.ElectionTimeout)
-	setDefault(&c.MaxClockDrift, 0.02)
-	setDefault(&c.MaxClockGap, 200*time.Millisecond)
-	setDefault(&c.ProposeTimeout, 5*time.Second)
-	setDefault(&c.MaxCommandBytes, 1<<20)
-	setDefault(&c.MaxUncommitted, 8192)
-	setDefault(&c.MaxAppendBytes, 256<<10)
-	setDefault(&c.MaxInflightEntries, 2048)
-	setDefault(&c.SnapshotChunkBytes, 256<<10)
-	setDefault(&c.SnapshotEntries, 4096)
-	setDefault(&c.SnapshotBytes, 8<<20)
-	setDefault(&c.TrailingEntries, 512)
-	setDefault(&c.TrailingBytes, 1<<20)
+	cleat.SetDefault(&c.TickInterval, 20*time.Millisecond)
+	cleat.SetDefault(&c.Heartbeat, 100*time.Millisecond)
+	cleat.SetDefault(&c.ElectionTimeout, 600*time.Millisecond)
+	cleat.SetDefault(&c.Lease, c.ElectionTimeout)
+	cleat.SetDefault(&c.MaxClockDrift, 0.02)
+	cleat.SetDefault(&c.MaxClockGap, 200*time.Millisecond)
+	cleat.SetDefault(&c.ProposeTimeout, 5*time.Second)
+	cleat.SetDefault(&c.MaxCommandBytes, 1<<20)
+	cleat.SetDefault(&c.MaxUncommitted, 8192)
+	cleat.SetDefault(&c.MaxAppendBytes, 256<<10)
+	cleat.SetDefault(&c.MaxInflightEntries, 2048)
+	cleat.SetDefault(&c.SnapshotChunkBytes, 256<<10)
+	cleat.SetDefault(&c.SnapshotEntries, 4096)
+	cleat.SetDefault(&c.SnapshotBytes, 8<<20)
+	cleat.SetDefault(&c.TrailingEntries, 512)
+	cleat.SetDefault(&c.TrailingBytes, 1<<20)
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
@@ -99,10 +99,3 @@
 	longest := float64(c.Lease) * (1 + c.MaxClockDrift) / (1 - c.MaxClockDrift)
 	return time.Duration(longest) + c.MaxClockGap
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/rule.go
+++ b/rule.go
@@ -43,18 +43,10 @@
 
 // Defaults sets what the operator left out.
 func (r *Rule) Defaults() {
-	if r.Kind == "" {
-		r.Kind = KindModel
-	}
-	if r.Class == "" {
-		r.Class = DefaultClass
-	}
-	if r.IdempotencyHeader == "" {
-		r.IdempotencyHeader = DefaultIdempotencyHeader
-	}
-	if r.PathPrefix == "" {
-		r.PathPrefix = "/"
-	}
+	SetDefault(&r.Kind, KindModel)
+	SetDefault(&r.Class, DefaultClass)
+	SetDefault(&r.IdempotencyHeader, DefaultIdempotencyHeader)
+	SetDefault(&r.PathPrefix, "/")
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
@@ -127,9 +119,7 @@
 
 // Defaults sets what the operator left out.
 func (c *Class) Defaults() {
-	if c.Deadline == 0 {
-		c.Deadline = Seconds(DefaultDeadline.Seconds())
-	}
+	SetDefault(&c.Deadline, Seconds(DefaultDeadline.Seconds()))
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
--- a/slots/config.go
+++ b/slots/config.go
@@ -33,35 +33,23 @@
 
 // Defaults sets what is left out.
 func (c *Config) Defaults() {
-	setDuration(&c.GrantLifetime, 250*time.Millisecond)
-	setDuration(&c.GrantSlack, 250*time.Millisecond)
-	setDuration(&c.UpstreamTimeout, 3*time.Second)
-	setDuration(&c.AskMin, 100*time.Millisecond)
-	setDuration(&c.AskMax, 2*time.Second)
-	setDuration(&c.StateMin, 500*time.Millisecond)
-	setDuration(&c.StatePerEntry, 150*time.Millisecond)
-	setDuration(&c.RememberAttempts, 15*time.Minute)
-	setDuration(&c.AgeingAfter, 2*time.Minute)
-	setDuration(&c.StarveAfter, 30*time.Second)
-	setDuration(&c.AloneAfter, 15*time.Second)
-	if c.MaxRemembered == 0 {
-		c.MaxRemembered = 100000
-	}
-	if c.MaxPrefixes == 0 {
-		c.MaxPrefixes = 8192
-	}
-	if c.StatePrefixes == 0 {
-		c.StatePrefixes = 8
-	}
-	if c.ClassCredit == 0 {
-		c.ClassCredit = 500
-	}
-	if c.ReturnSlack == 0 {
-		c.ReturnSlack = 4000
-	}
-	if c.ChargeAhead == 0 {
-		c.ChargeAhead = 0.25
-	}
+	cleat.SetDefault(&c.GrantLifetime, 250*time.Millisecond)
+	cleat.SetDefault(&c.GrantSlack, 250*time.Millisecond)
+	cleat.SetDefault(&c.UpstreamTimeout, 3*time.Second)
+	cleat.SetDefault(&c.AskMin, 100*time.Millisecond)
+	cleat.SetDefault(&c.AskMax, 2*time.Second)
+	cleat.SetDefault(&c.StateMin, 500*time.Millisecond)
+	cleat.SetDefault(&c.StatePerEntry, 150*time.Millisecond)
+	cleat.SetDefault(&c.RememberAttempts, 15*time.Minute)
+	cleat.SetDefault(&c.AgeingAfter, 2*time.Minute)
+	cleat.SetDefault(&c.StarveAfter, 30*time.Second)
+	cleat.SetDefault(&c.AloneAfter, 15*time.Second)
+	cleat.SetDefault(&c.MaxRemembered, 100000)
+	cleat.SetDefault(&c.MaxPrefixes, 8192)
+	cleat.SetDefault(&c.StatePrefixes, 8)
+	cleat.SetDefault(&c.ClassCredit, 500)
+	cleat.SetDefault(&c.ReturnSlack, 4000)
+	cleat.SetDefault(&c.ChargeAhead, 0.25)
 	c.Admit.Defaults()
 }
 
@@ -81,9 +69,3 @@
 	}
 	return c.Admit.Validate()
 }
-
-func setDuration(d *time.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = v
-	}
-}
--- a/wire/config.go
+++ b/wire/config.go
@@ -50,26 +50,19 @@
 
 // Defaults sets what was left out.
 func (c *Config) Defaults() {
-	setDefault(&c.Fleet, DefaultFleet)
-	setDefault(&c.MaxFrameBytes, DefaultMaxFrameBytes)
-	setDefault(&c.SendQueueBytes, DefaultSendQueueBytes)
-	setDefault(&c.PingInterval, DefaultPingInterval)
-	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
-	setDefault(&c.DialTimeout, DefaultDialTimeout)
-	setDefault(&c.MinBackoff, DefaultMinBackoff)
-	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
+	cleat.SetDefault(&c.Fleet, DefaultFleet)
+	cleat.SetDefault(&c.MaxFrameBytes, DefaultMaxFrameBytes)
+	cleat.SetDefault(&c.SendQueueBytes, DefaultSendQueueBytes)
+	cleat.SetDefault(&c.PingInterval, DefaultPingInterval)
+	cleat.SetDefault(&c.PeerTimeout, DefaultPeerTimeout)
+	cleat.SetDefault(&c.DialTimeout, DefaultDialTimeout)
+	cleat.SetDefault(&c.MinBackoff, DefaultMinBackoff)
+	cleat.SetDefault(&c.MaxBackoff, DefaultMaxBackoff)
 	if c.Counters == nil {
 		c.Counters = &Counters{}
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Validate returns a trace.BadParameter error that names the first wrong field.
 func (c *Config) Validate() error {
 	if len(c.Key) == 0 && c.TLS == nil {
--- a/workspace.go
+++ b/workspace.go
@@ -29,12 +29,8 @@
 
 // Defaults sets what the operator left out.
 func (w *Workspace) Defaults() {
-	if w.Share == 0 {
-		w.Share = DefaultShare
-	}
-	if w.MaxWaiting == 0 {
-		w.MaxWaiting = DefaultMaxWaiting
-	}
+	SetDefault(&w.Share, DefaultShare)
+	SetDefault(&w.MaxWaiting, DefaultMaxWaiting)
 }
 
 // Validate returns a trace.BadParameter error that names the first wrong field.
