Name adverts, states and work in flight by their usual terms

Tellings, hungry upstreams, lending and flying work needed explaining; they are adverts, idle models, issuing a grant and work in flight now. Nothing else changed.

--- a/ctrl/api_status.go
+++ b/ctrl/api_status.go
@@ -125,7 +125,7 @@
 
 // level is what fair sharing compares between workspaces.
 func level(t cleat.WorkspaceTotal) float64 {
-	return t.Service + t.Flying + t.Lift
+	return t.Service + t.InFlight + t.Lift
 }
 
 func (r *Role) getControl(c echo.Context, _ caller) error {
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -29,7 +29,7 @@
 type Account struct {
 	workspace cleat.WorkspaceID
 	service   float64 // Used at this agent's present incarnation.
-	flying    float64 // Estimated rest of what runs here.
+	inFlight  float64 // Estimated rest of what runs here.
 	others    float64 // Used at all others, as last heard.
 	elsewhere float64 // Estimated rest of what runs at all others, as last heard.
 	lift      float64
@@ -45,7 +45,7 @@
 // Virtual returns the service received over the fleet and lifts, with the
 // estimated rest of running work.
 func (a *Account) Virtual() float64 {
-	return a.Received() + a.flying + a.elsewhere
+	return a.Received() + a.inFlight + a.elsewhere
 }
 
 // Received returns the service received over the fleet and lifts.
@@ -56,8 +56,8 @@
 // Own returns the service used at this agent.
 func (a *Account) Own() float64 { return a.service }
 
-// Flying returns the estimated rest of what runs here.
-func (a *Account) Flying() float64 { return a.flying }
+// InFlight returns the estimated rest of what runs here.
+func (a *Account) InFlight() float64 { return a.inFlight }
 
 // Lift returns how far the workspace was raised on its returns from idle.
 func (a *Account) Lift() float64 { return a.lift }
@@ -115,11 +115,11 @@
 
 // Expect changes the estimated rest of what runs here by service.
 func (b *Book) Expect(a *Account, service float64) {
-	a.flying += service
-	if a.flying < -slack(a.service) {
-		assert.Fail("service-accounted", "%s has %v in flight", a.workspace, a.flying)
+	a.inFlight += service
+	if a.inFlight < -slack(a.service) {
+		assert.Fail("service-accounted", "%s has %v in flight", a.workspace, a.inFlight)
 	}
-	a.flying = max(0, a.flying)
+	a.inFlight = max(0, a.inFlight)
 	b.mark(a)
 }
 
@@ -151,7 +151,7 @@
 	m := &cleat.LedgerReport{Agent: b.self.Instance, Incarnation: b.self.Incarnation, Seq: b.seq, Whole: b.whole}
 	m.Totals = make([]cleat.WorkspaceTotal, 0, len(list))
 	for _, a := range list {
-		a.reported, a.at = cell{a.service, a.flying}, now
+		a.reported, a.at = cell{a.service, a.inFlight}, now
 		m.Totals = append(m.Totals, a.total(b.whole))
 	}
 	b.whole = b.relay == "" // Until a relay answers.
@@ -196,7 +196,7 @@
 
 // due reports whether the account moved enough, or long ago.
 func (a *Account) due(now time.Time, quantum float64) bool {
-	moved := math.Abs(a.service + a.flying - a.reported.service - a.reported.flying)
+	moved := math.Abs(a.service + a.inFlight - a.reported.service - a.reported.inFlight)
 	return moved >= quantum || a.lift != a.liftTold || now.Sub(a.at) >= RefreshInterval
 }
 
@@ -267,7 +267,7 @@
 	a.liftTold = a.lift
 	t := cleat.WorkspaceTotal{
 		Workspace: a.workspace, Service: math.Floor(a.service),
-		Flying: math.Round(a.flying), Lift: math.Ceil(a.lift),
+		InFlight: math.Round(a.inFlight), Lift: math.Ceil(a.lift),
 	}
 	if whole {
 		t.Known = math.Floor(a.others)
@@ -280,7 +280,7 @@
 func (a *Account) merge(t *cleat.WorkspaceTotal) bool {
 	before := a.Virtual()
 	a.others = max(a.others, t.Service)
-	a.elsewhere = t.Flying
+	a.elsewhere = t.InFlight
 	a.lift = max(a.lift, t.Lift)
 	return a.Virtual() != before
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -22,8 +22,8 @@
 	return &cleat.LedgerReport{Agent: cleat.InstanceID(agent), Incarnation: life, Seq: seq, Totals: totals}
 }
 
-func total(w string, service, flying float64) cleat.WorkspaceTotal {
-	return cleat.WorkspaceTotal{Workspace: cleat.WorkspaceID(w), Service: service, Flying: flying}
+func total(w string, service, inFlight float64) cleat.WorkspaceTotal {
+	return cleat.WorkspaceTotal{Workspace: cleat.WorkspaceID(w), Service: service, InFlight: inFlight}
 }
 
 func newRelay(life cleat.Incarnation) *ledger.Relay {
@@ -53,9 +53,9 @@
 	It("does not count what a silent agent ran for ever", func() {
 		r := newRelay(1)
 		r.Report(start, report("a", 5, 1, total("w", 100, 40)))
-		Expect(r.Sums(start, "b").Totals[0].Flying).To(Equal(40.0))
+		Expect(r.Sums(start, "b").Totals[0].InFlight).To(Equal(40.0))
 		m := r.Sums(start.Add(ledger.FlightBound+ledger.RefreshInterval), "b")
-		Expect(m.Totals[0].Flying).To(Equal(0.0))
+		Expect(m.Totals[0].InFlight).To(Equal(0.0))
 	})
 
 	It("asks for the whole after a gap", func() {
@@ -130,7 +130,7 @@
 		Expect(b.Report(start.Add(2 * time.Second))).To(BeNil())
 		Expect(b.Report(start.Add(ledger.RefreshInterval)).Totals[0].Service).To(Equal(501.0))
 		b.Expect(a, 400)
-		Expect(b.Report(start.Add(ledger.RefreshInterval + time.Second)).Totals[0].Flying).To(Equal(400.0))
+		Expect(b.Report(start.Add(ledger.RefreshInterval + time.Second)).Totals[0].InFlight).To(Equal(400.0))
 	})
 
 	It("repeats the whole until a relay answers, so that a lost first report does no harm", func() {
--- a/ledger/relay.go
+++ b/ledger/relay.go
@@ -21,8 +21,8 @@
 
 // cell is one agent's total for one workspace.
 type cell struct {
-	service float64
-	flying  float64
+	service  float64
+	inFlight float64
 }
 
 // row is what one incarnation of an agent reported.
@@ -200,7 +200,7 @@
 func (r *Relay) Total(w cleat.WorkspaceID) cleat.WorkspaceTotal {
 	t := cleat.WorkspaceTotal{Workspace: w}
 	if i, ok := r.index[w]; ok {
-		t.Service, t.Flying, t.Lift = r.sums[i].service+max(0, r.base[i]), r.sums[i].flying, r.lifts[i]
+		t.Service, t.InFlight, t.Lift = r.sums[i].service+max(0, r.base[i]), r.sums[i].inFlight, r.lifts[i]
 	}
 	return t
 }
@@ -267,8 +267,8 @@
 		c.service = t.Service
 	}
 	if latest && !w.superseded {
-		r.sums[i].flying += t.Flying - c.flying
-		c.flying = t.Flying
+		r.sums[i].inFlight += t.InFlight - c.inFlight
+		c.inFlight = t.InFlight
 	}
 	r.lifts[i] = max(r.lifts[i], t.Lift)
 }
@@ -308,12 +308,12 @@
 		i := f.next % n
 		f.next = i + 1
 		c := r.others(i, own)
-		moved := math.Abs(c.service + c.flying - f.sent[i].service - f.sent[i].flying)
+		moved := math.Abs(c.service + c.inFlight - f.sent[i].service - f.sent[i].inFlight)
 		late := moved > 0 && now.Sub(f.at[i]) >= RefreshInterval
 		if moved < SumsQuantum*scale(r.agents()) && r.lifts[i] == f.lifts[i] && !late {
 			continue
 		}
-		t := cleat.WorkspaceTotal{Workspace: r.names[i], Service: c.service, Flying: c.flying}
+		t := cleat.WorkspaceTotal{Workspace: r.names[i], Service: c.service, InFlight: c.inFlight}
 		if r.lifts[i] != f.lifts[i] {
 			t.Lift = r.lifts[i]
 		}
@@ -327,10 +327,10 @@
 func (r *Relay) agents() uint32 { return uint32(len(r.order)) }
 
 func (r *Relay) others(i int, own *row) cell {
-	c := cell{service: r.sums[i].service + r.base[i], flying: max(0, r.sums[i].flying)}
+	c := cell{service: r.sums[i].service + r.base[i], inFlight: max(0, r.sums[i].inFlight)}
 	if own != nil && i < len(own.cells) {
 		c.service -= own.cells[i].service
-		c.flying = max(0, c.flying-own.cells[i].flying)
+		c.inFlight = max(0, c.inFlight-own.cells[i].inFlight)
 	}
 	return c
 }
@@ -342,7 +342,7 @@
 			continue
 		}
 		m.Totals = append(m.Totals, cleat.WorkspaceTotal{
-			Workspace: r.names[i], Service: c.service, Flying: c.flying, Lift: r.lifts[i],
+			Workspace: r.names[i], Service: c.service, InFlight: c.inFlight, Lift: r.lifts[i],
 		})
 	}
 	return m
@@ -356,8 +356,8 @@
 // land stops counting what a row expects of running work.
 func (r *Relay) land(w *row) {
 	for i := range w.cells {
-		r.sums[i].flying -= w.cells[i].flying
-		w.cells[i].flying = 0
+		r.sums[i].inFlight -= w.cells[i].inFlight
+		w.cells[i].inFlight = 0
 	}
 	w.landed = true
 }
@@ -388,12 +388,12 @@
 	}
 	most := math.Inf(-1)
 	for i := range r.names {
-		if r.sums[i].flying > 0 {
+		if r.sums[i].inFlight > 0 {
 			most = max(most, r.received(i))
 		}
 	}
 	for i := range r.names {
-		if short := most - MaxLag - r.received(i); r.sums[i].flying > 0 && short > 0 {
+		if short := most - MaxLag - r.received(i); r.sums[i].inFlight > 0 && short > 0 {
 			r.lifts[i] += math.Ceil(short)
 		}
 	}
--- a/message.go
+++ b/message.go
@@ -198,7 +198,7 @@
 type WorkspaceTotal struct {
 	Workspace WorkspaceID `msgpack:"w,intern"`
 	Service   float64     `msgpack:"s"`           // Cumulative, divided by the share at the time; never falls.
-	Flying    float64     `msgpack:"f,omitempty"` // Estimated rest of what runs now; a level, replaced by each report.
+	InFlight  float64     `msgpack:"f,omitempty"` // Estimated rest of what runs now; a level, replaced by each report.
 	Lift      float64     `msgpack:"l,omitempty"` // Raised on return from idle; merged by maximum, so zero where it did not change.
 	Known     float64     `msgpack:"k,omitempty"` // In whole reports: what the agent knows of all others' Service.
 }
--- a/queue/agent.go
+++ b/queue/agent.go
@@ -18,15 +18,15 @@
 	upstreams   []*upstream
 	pools       []*pool
 	attempts    map[cleat.RequestID]*request
-	tellings    map[*stream]*telling
-	tellOrder   []*telling // By first telling.
+	adverts     map[*stream]*advert
+	advertOrder []*advert // By first advert.
 	seq         uint64
 	whole       bool
 	sentAt      time.Time
 	lastGrant   uint64
 }
 
-// upstream is what an agent last told of one of its upstreams.
+// upstream is what an agent last reported of one of its upstreams.
 type upstream struct {
 	state    cleat.UpstreamState
 	started  int             // Dispatches less ends since the state.
@@ -39,7 +39,7 @@
 	var e cleat.Effects
 	a, ok := t.agents[p.Instance]
 	if !ok {
-		a = &agent{id: p.Instance, attempts: map[cleat.RequestID]*request{}, tellings: map[*stream]*telling{}}
+		a = &agent{id: p.Instance, attempts: map[cleat.RequestID]*request{}, adverts: map[*stream]*advert{}}
 		t.agents[p.Instance] = a
 		t.order = append(t.order, a)
 		sort.Slice(t.order, func(i, j int) bool { return t.order[i].id < t.order[j].id })
@@ -50,7 +50,7 @@
 		a.upstreams, a.pools = nil, nil
 	}
 	a.domain, a.up = p.Domain, true
-	t.untell(a)
+	t.dropAdverts(a)
 	a.whole = true
 	t.epoch++
 	e.Add(t.plan(now))
@@ -64,7 +64,7 @@
 		return cleat.Effects{}
 	}
 	a.up, a.downAt = false, now
-	t.untell(a)
+	t.dropAdverts(a)
 	return t.plan(now)
 }
 
@@ -88,7 +88,7 @@
 	return t.plan(now)
 }
 
-// Ask notes that an agent has free slots and tells it what it was not told.
+// Ask notes that an agent has free slots and sends it the offers that it does not have.
 func (t *Table) Ask(now time.Time, from cleat.InstanceID, m *cleat.Ask) cleat.Effects {
 	a, ok := t.agents[from]
 	if !ok || !a.up || m.Incarnation != a.incarnation {
@@ -96,7 +96,7 @@
 	}
 	for _, s := range t.active {
 		if a.serves(s) && asksFor(m, s.key.Model) {
-			o := a.telling(s)
+			o := a.advert(s)
 			o.left, o.dirty = 0, true
 		}
 	}
--- a/queue/attempt.go
+++ b/queue/attempt.go
@@ -38,7 +38,7 @@
 	}
 	if r == nil {
 		if ok {
-			a.telling(s).declined(now)
+			a.advert(s).declined(now)
 		}
 		e.Sends = append(e.Sends, cleat.Send{To: a.id, Message: &cleat.Decline{Incarnation: a.incarnation, Grant: g.ID}})
 		return
@@ -46,7 +46,7 @@
 	t.start(now, a, g, r, e)
 }
 
-func (o *telling) declined(now time.Time) {
+func (o *advert) declined(now time.Time) {
 	o.left = 0
 	o.stream.lacking = 0
 	if o.stream.waiting > 0 {
@@ -123,7 +123,7 @@
 	t.running++
 	s.workspace.running++
 	a.attempts[r.work.ID] = r
-	if o, ok := a.tellings[s]; ok {
+	if o, ok := a.adverts[s]; ok {
 		o.left = max(0, o.left-1)
 		s.lacking = 0
 	}
--- a/queue/offer.go
+++ b/queue/offer.go
@@ -17,44 +17,44 @@
 // returned from idle.
 const freshBound = 100 * time.Millisecond
 
-// telling is what one agent was told of one stream.
-type telling struct {
-	agent     *agent
-	stream    *stream
-	left      int // What the agent believes is still waiting.
-	dirty     bool
-	toldAt    time.Time
-	heldUntil time.Time // After it granted a slot that nothing could use.
+// advert is the offer of one stream as one agent last received it.
+type advert struct {
+	agent        *agent
+	stream       *stream
+	left         int // What the agent believes is still waiting.
+	dirty        bool
+	advertisedAt time.Time
+	heldUntil    time.Time // After it granted a slot that nothing could use.
 }
 
-func (a *agent) telling(s *stream) *telling {
-	if o, ok := a.tellings[s]; ok {
+func (a *agent) advert(s *stream) *advert {
+	if o, ok := a.adverts[s]; ok {
 		return o
 	}
-	o := &telling{agent: a, stream: s}
-	a.tellings[s] = o
-	a.tellOrder = append(a.tellOrder, o)
-	at := sort.Search(len(s.tellings), func(i int) bool { return s.tellings[i].agent.id > a.id })
-	s.tellings = append(s.tellings, nil)
-	copy(s.tellings[at+1:], s.tellings[at:])
-	s.tellings[at] = o
+	o := &advert{agent: a, stream: s}
+	a.adverts[s] = o
+	a.advertOrder = append(a.advertOrder, o)
+	at := sort.Search(len(s.adverts), func(i int) bool { return s.adverts[i].agent.id > a.id })
+	s.adverts = append(s.adverts, nil)
+	copy(s.adverts[at+1:], s.adverts[at:])
+	s.adverts[at] = o
 	return o
 }
 
-// untell forgets what an agent was told.
-func (t *Table) untell(a *agent) {
-	for _, o := range a.tellOrder {
-		for i, other := range o.stream.tellings {
+// dropAdverts forgets the offers that an agent has.
+func (t *Table) dropAdverts(a *agent) {
+	for _, o := range a.advertOrder {
+		for i, other := range o.stream.adverts {
 			if other == o {
-				o.stream.tellings = append(o.stream.tellings[:i], o.stream.tellings[i+1:]...)
+				o.stream.adverts = append(o.stream.adverts[:i], o.stream.adverts[i+1:]...)
 				break
 			}
 		}
 	}
-	a.tellings, a.tellOrder = map[*stream]*telling{}, nil
+	a.adverts, a.advertOrder = map[*stream]*advert{}, nil
 }
 
-// widen doubles the agents told of streams whose first request goes on waiting.
+// widen doubles the agents that have an offer of streams whose first request goes on waiting.
 func (t *Table) widen(now time.Time) {
 	for _, s := range t.active {
 		if now.Before(s.widenAt) || s.spread >= t.cfg.MaxSpread {
@@ -79,15 +79,15 @@
 	return e
 }
 
-// choose adds agents to a stream's tellings until its spread is reached.
+// choose adds agents to a stream's adverts until its spread is reached.
 func (t *Table) choose(s *stream) {
-	told := 0
-	for _, o := range s.tellings {
+	advertised := 0
+	for _, o := range s.adverts {
 		if o.left > 0 || o.dirty {
-			told++
+			advertised++
 		}
 	}
-	for told < s.spread && s.lacking != t.epoch {
+	for advertised < s.spread && s.lacking != t.epoch {
 		a, full := t.nearest(s)
 		if a == nil {
 			s.lacking = t.epoch
@@ -96,18 +96,18 @@
 		if full {
 			s.spread = max(s.spread, t.cfg.Spread)
 		}
-		o := a.telling(s)
+		o := a.advert(s)
 		o.dirty = true
-		told++
+		advertised++
 	}
 }
 
-// nearest returns the best agent that was not told of the stream, and whether
+// nearest returns the best agent that has no offer of the stream, and whether
 // it seems to have no free slot.
 func (t *Table) nearest(s *stream) (best *agent, full bool) {
 	least := math.Inf(1)
 	for _, a := range t.order {
-		if o, ok := a.tellings[s]; (ok && (o.left > 0 || o.dirty)) || !a.serves(s) {
+		if o, ok := a.adverts[s]; (ok && (o.left > 0 || o.dirty)) || !a.serves(s) {
 			continue
 		}
 		c := t.candidate(a, s)
@@ -143,7 +143,7 @@
 	}
 	interval := now.Sub(a.sentAt) >= t.cfg.OfferInterval
 	send := a.whole
-	for _, o := range a.tellOrder {
+	for _, o := range a.advertOrder {
 		o.review(now, t.cfg.RefreshInterval)
 		send = send || (o.dirty && (interval || o.urgent()))
 	}
@@ -152,7 +152,7 @@
 	}
 	a.seq++
 	m := &cleat.Offers{Incarnation: t.self.Incarnation, Seq: a.seq, Whole: a.whole, Granted: a.lastGrant}
-	for _, o := range a.tellOrder {
+	for _, o := range a.advertOrder {
 		if o.dirty || (a.whole && o.left > 0) {
 			m.Offers = append(m.Offers, t.offer(now, o))
 		}
@@ -162,8 +162,8 @@
 	return m
 }
 
-// review marks a telling that is too far from what waits.
-func (o *telling) review(now time.Time, refresh time.Duration) {
+// review marks an advert that is too far from what waits.
+func (o *advert) review(now time.Time, refresh time.Duration) {
 	waiting := o.stream.waiting
 	switch {
 	case now.Before(o.heldUntil):
@@ -172,7 +172,7 @@
 		o.dirty = true
 	case o.left > 0 && waiting < enough && 4*waiting <= o.left:
 		o.dirty = true
-	case o.left > 0 && now.Sub(o.toldAt) >= refresh:
+	case o.left > 0 && now.Sub(o.advertisedAt) >= refresh:
 		o.dirty = true
 	case o.left == 0 && waiting == 0:
 		o.dirty = false
@@ -180,11 +180,11 @@
 }
 
 // urgent reports whether the agent believes that nothing waits while something does.
-func (o *telling) urgent() bool {
+func (o *advert) urgent() bool {
 	return o.left == 0 && o.stream.waiting > 0
 }
 
-func (t *Table) offer(now time.Time, o *telling) cleat.Offer {
+func (t *Table) offer(now time.Time, o *advert) cleat.Offer {
 	s := o.stream
 	m := cleat.Offer{Stream: s.key, Waiting: uint32(s.waiting), Rank: s.rank, Share: s.workspace.share}
 	if r := s.head(); r != nil && s.waiting > 0 {
@@ -193,12 +193,12 @@
 		m.Fresh = now.Sub(s.workspace.busySince) <= freshBound
 		m.Affinity = o.affinity(r)
 	}
-	o.left, o.dirty, o.toldAt = s.waiting, false, now
+	o.left, o.dirty, o.advertisedAt = s.waiting, false, now
 	return m
 }
 
 // affinity is the cached part of the first request's prefix, in 255ths.
-func (o *telling) affinity(r *request) uint8 {
+func (o *advert) affinity(r *request) uint8 {
 	if len(r.work.Prefix) == 0 {
 		return 0
 	}
@@ -211,23 +211,23 @@
 	return uint8(255 * best / len(r.work.Prefix))
 }
 
-// prune drops the tellings of streams that were withdrawn.
+// prune drops the adverts of streams that were withdrawn.
 func (a *agent) prune() {
-	kept := a.tellOrder[:0]
-	for _, o := range a.tellOrder {
+	kept := a.advertOrder[:0]
+	for _, o := range a.advertOrder {
 		if o.left > 0 || o.dirty || o.stream.waiting > 0 {
 			kept = append(kept, o)
 			continue
 		}
-		delete(a.tellings, o.stream)
+		delete(a.adverts, o.stream)
 		o.stream.lacking = 0
-		for i, other := range o.stream.tellings {
+		for i, other := range o.stream.adverts {
 			if other == o {
-				o.stream.tellings = append(o.stream.tellings[:i], o.stream.tellings[i+1:]...)
+				o.stream.adverts = append(o.stream.adverts[:i], o.stream.adverts[i+1:]...)
 				break
 			}
 		}
 	}
-	clear(a.tellOrder[len(kept):])
-	a.tellOrder = kept
+	clear(a.advertOrder[len(kept):])
+	a.advertOrder = kept
 }
--- a/queue/stream.go
+++ b/queue/stream.go
@@ -32,7 +32,7 @@
 	spread    int
 	lacking   uint64 // The table's epoch when no more agents were found.
 	widenAt   time.Time
-	tellings  []*telling // By agent id.
+	adverts   []*advert // By agent id.
 }
 
 func (t *Table) stream(now time.Time, w *cleat.Work) *stream {
--- a/queue/table.go
+++ b/queue/table.go
@@ -75,7 +75,7 @@
 	for _, s := range t.active {
 		w := s.workspace
 		w.configure(f, t.cfg)
-		for _, o := range s.tellings {
+		for _, o := range s.adverts {
 			o.dirty = o.dirty || o.left > 0
 		}
 	}
--- a/slots/entry.go
+++ b/slots/entry.go
@@ -9,17 +9,17 @@
 
 // entry is one entry instance as this agent sees it.
 type entry struct {
-	id          cleat.InstanceID
-	incarnation cleat.Incarnation
-	up          bool
-	seq         uint64
-	offers      map[cleat.Stream]*offer
-	order       []*offer // By first sight.
-	out         []cleat.Grant
-	stateSeq    uint64
-	toldAt      time.Time
-	due         bool                        // A state is to be sent.
-	told        map[cleat.UpstreamID]uint64 // Prefixes added until the last state.
+	id           cleat.InstanceID
+	incarnation  cleat.Incarnation
+	up           bool
+	seq          uint64
+	offers       map[cleat.Stream]*offer
+	order        []*offer // By first sight.
+	out          []cleat.Grant
+	stateSeq     uint64
+	stateSentAt  time.Time
+	due          bool                        // A state is to be sent.
+	prefixesSent map[cleat.UpstreamID]uint64 // Prefixes added until the last state.
 }
 
 // EntryUp notes that the link to an entry is up and sends it this agent's state.
@@ -39,7 +39,7 @@
 		t.started = now
 	}
 	e.up = true
-	e.toldAt = now
+	e.stateSentAt = now
 	e.due = false
 	return cleat.Effects{Sends: []cleat.Send{{To: e.id, Message: t.state(e, true)}}}
 }
--- a/slots/flow.go
+++ b/slots/flow.go
@@ -244,9 +244,9 @@
 // audit checks that what is accounted is what ran, and what is expected is
 // what runs.
 func (t *Table) audit(f *flow) {
-	if !near(f.account.Own(), f.used) || !near(f.account.Flying(), f.rest) {
+	if !near(f.account.Own(), f.used) || !near(f.account.InFlight(), f.rest) {
 		assert.Fail("service-accounted", "%s: accounted %v and %v in flight, ran %v and %v expected",
-			f.id, f.account.Own(), f.account.Flying(), f.used, f.rest)
+			f.id, f.account.Own(), f.account.InFlight(), f.used, f.rest)
 	}
 }
 
--- a/slots/grant.go
+++ b/slots/grant.go
@@ -29,7 +29,7 @@
 		if u == nil {
 			break
 		}
-		t.lend(now, u, t.pick(now, u))
+		t.issue(now, u, t.pick(now, u))
 	}
 	return t.collect()
 }
@@ -76,7 +76,7 @@
 	return first.Owner().(*lane).best(now, t.cfg.AgeingAfter)
 }
 
-func (t *Table) lend(now time.Time, u *upstream, o *offer) {
+func (t *Table) issue(now time.Time, u *upstream, o *offer) {
 	f := o.lane.flow
 	if t.lastGrant%gapCheckEvery == 0 {
 		t.checkGap(u, f)
--- a/slots/state.go
+++ b/slots/state.go
@@ -9,17 +9,17 @@
 // state builds the agent's state for an entry, with the prefixes added since
 // the last; a whole one replaces all that the entry knew.
 func (t *Table) state(e *entry, whole bool) *cleat.AgentState {
-	if whole || e.told == nil {
-		e.told = map[cleat.UpstreamID]uint64{}
+	if whole || e.prefixesSent == nil {
+		e.prefixesSent = map[cleat.UpstreamID]uint64{}
 	}
 	e.stateSeq++
 	m := &cleat.AgentState{Incarnation: t.self.Incarnation, Seq: e.stateSeq, Domain: t.self.Domain}
 	for _, u := range t.ups {
 		s := u.state()
-		since, known := e.told[u.id]
+		since, known := e.prefixesSent[u.id]
 		s.Forget = whole || !known || since < u.prefixes.forgotten
 		s.Prefixes = u.prefixes.since(since, t.cfg.StatePrefixes)
-		e.told[u.id] = u.prefixes.added
+		e.prefixesSent[u.id] = u.prefixes.added
 		m.Upstreams = append(m.Upstreams, s)
 	}
 	return m
@@ -32,8 +32,8 @@
 	}
 }
 
-// tell sends the state to one entry at a time, as the pace allows.
-func (t *Table) tell(now time.Time, e *cleat.Effects) {
+// sendStates sends the state to one entry at a time, as the pace allows.
+func (t *Table) sendStates(now time.Time, e *cleat.Effects) {
 	for _, u := range t.ups {
 		limit := u.limit(now)
 		full, slow := u.used() >= limit, u.limiter.Slow()
@@ -45,10 +45,10 @@
 	for n := len(t.ents); n > 0 && now.Sub(t.stateAt) >= t.cfg.StatePerEntry; n-- {
 		ent := t.ents[t.nextState%len(t.ents)]
 		t.nextState++
-		if !ent.up || !ent.due || now.Sub(ent.toldAt) < t.cfg.StateMin {
+		if !ent.up || !ent.due || now.Sub(ent.stateSentAt) < t.cfg.StateMin {
 			continue
 		}
-		ent.due, ent.toldAt, t.stateAt = false, now, now
+		ent.due, ent.stateSentAt, t.stateAt = false, now, now
 		e.Sends = append(e.Sends, cleat.Send{To: ent.id, Message: t.state(ent, false)})
 	}
 }
@@ -58,7 +58,7 @@
 	if t.draining || len(t.ents) == 0 || now.Before(t.askAt) {
 		return
 	}
-	models := t.hungry(now)
+	models := t.idleModels(now)
 	if len(models) == 0 {
 		t.askPause = 0
 		return
@@ -77,8 +77,8 @@
 	}
 }
 
-// hungry lists the models of upstreams with free slots.
-func (t *Table) hungry(now time.Time) []cleat.ModelID {
+// idleModels lists the models of upstreams with free slots.
+func (t *Table) idleModels(now time.Time) []cleat.ModelID {
 	var models []cleat.ModelID
 	for _, u := range t.ups {
 		if u.limit(now) <= u.used() {
--- a/slots/table.go
+++ b/slots/table.go
@@ -108,7 +108,7 @@
 	t.raiseStarved(now)
 	e := t.grant(now)
 	t.ask(now, &e)
-	t.tell(now, &e)
+	t.sendStates(now, &e)
 	return e
 }
 
