ledger: keep apart what is raised in a partial view

Cause: in a cut-off part of the fleet, workspaces that return from idle are raised to a level that misses what the other part served. The lift, merged by maximum, stayed after the heal and held them back (suspected before, not shown). Change: sums tell whether agents that may come back are silent; raises made meanwhile stay at their agent and end with the partial view. A spec checks it. Names in the ledger say what they do (limitLag, endInFlight).

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -27,16 +27,17 @@
 
 // Account is what one agent knows of a workspace's service, all in cost units for one share.
 type Account struct {
-	workspace cleat.WorkspaceID
-	service   float64 // Used at this agent's present incarnation.
-	inFlight  float64 // Estimated rest of what runs here.
-	others    float64 // Used at all others, as last heard.
-	elsewhere float64 // Estimated rest of what runs at all others, as last heard.
-	lift      float64
-	changed   bool
-	reported  cell
-	liftTold  float64
-	at        time.Time // Of the last report that named it.
+	workspace    cleat.WorkspaceID
+	service      float64 // Used at this agent's present incarnation.
+	inFlight     float64 // Estimated rest of what runs here.
+	others       float64 // Used at all others, as last heard.
+	elsewhere    float64 // Estimated rest of what runs at all others, as last heard.
+	lift         float64
+	private      float64 // Raised while the view was partial; ends with that.
+	changed      bool
+	reported     cell
+	liftReported float64
+	at           time.Time // Of the last report that named it.
 }
 
 // Workspace returns whose account it is.
@@ -50,7 +51,7 @@
 
 // Received returns the service received over the fleet and lifts.
 func (a *Account) Received() float64 {
-	return a.service + a.others + a.lift
+	return a.service + a.others + a.lift + a.private
 }
 
 // Own returns the service used at this agent.
@@ -80,6 +81,7 @@
 	ready    bool
 	unbroken bool // No sums of the relay were missed since its last whole ones.
 	heardAt  time.Time
+	partial  bool   // The relay misses agents that may come back.
 	agents   uint32 // In the fleet, as last heard.
 }
 
@@ -129,6 +131,10 @@
 	if short <= 0 {
 		return
 	}
+	if b.partial {
+		a.private += short
+		return
+	}
 	a.lift += short
 	b.mark(a)
 }
@@ -197,7 +203,7 @@
 // due reports whether the account moved enough, or long ago.
 func (a *Account) due(now time.Time, quantum float64) bool {
 	moved := math.Abs(a.service + a.inFlight - a.reported.service - a.reported.inFlight)
-	return moved >= quantum || a.lift != a.liftTold || now.Sub(a.at) >= RefreshInterval
+	return moved >= quantum || a.lift != a.liftReported || now.Sub(a.at) >= RefreshInterval
 }
 
 // Sums takes in the fleet's sums and returns the accounts that they moved; the
@@ -209,6 +215,7 @@
 	}
 	b.heardAt = now
 	b.agents = m.Agents
+	b.see(m.Partial)
 	for i := range m.Totals {
 		a := b.Account(m.Totals[i].Workspace)
 		if a.merge(&m.Totals[i]) {
@@ -218,6 +225,20 @@
 	return b.touched
 }
 
+// see notes whether the view is partial; what was raised in a partial view
+// stood for service that was not heard of, and ends with it.
+func (b *Book) see(partial bool) {
+	if b.partial && !partial {
+		for _, a := range b.order {
+			if a.private > 0 {
+				a.private = 0
+				b.touched = append(b.touched, a)
+			}
+		}
+	}
+	b.partial = partial
+}
+
 // fresh tells whether the sums are newer than those heard of their relay, and
 // decides whether the relay needs the whole of the totals.
 func (b *Book) fresh(m *cleat.LedgerSums) bool {
@@ -264,7 +285,7 @@
 }
 
 func (a *Account) total(whole bool) cleat.WorkspaceTotal {
-	a.liftTold = a.lift
+	a.liftReported = a.lift
 	t := cleat.WorkspaceTotal{
 		Workspace: a.workspace, Service: math.Floor(a.service),
 		InFlight: math.Round(a.inFlight), Lift: math.Ceil(a.lift),
--- a/ledger/feed.go
+++ b/ledger/feed.go
@@ -7,24 +7,25 @@
 	"marigoldcleat.example/cleat"
 )
 
-// feed is what one agent was told.
+// feed is what was sent to one agent.
 type feed struct {
-	seq    uint64
-	sent   []cell
-	lifts  []float64
-	at     []time.Time
-	next   int // Workspace to go on with.
-	ackDue bool
-	ready  bool
-	sentAt time.Time
-	whole  bool // The next sums are the first since all was forgotten.
+	seq     uint64
+	sent    []cell
+	lifts   []float64
+	at      []time.Time
+	next    int // Workspace to go on with.
+	ackDue  bool
+	ready   bool
+	partial bool
+	sentAt  time.Time
+	whole   bool // The next sums are the first since all was forgotten.
 }
 
 // Sums returns what changed since the last sums to an agent, without the
 // agent's own present total, or nil when nothing did.
 func (r *Relay) Sums(now time.Time, agent cleat.InstanceID) *cleat.LedgerSums {
 	r.expire(now)
-	r.forgive(now)
+	r.limitLag(now)
 	f, ok := r.feeds[agent]
 	if !ok {
 		f = &feed{ackDue: true, whole: true}
@@ -40,14 +41,15 @@
 	}
 	totals := r.changed(now, f, own)
 	ready := len(totals) < MaxSumsTotals && now.Sub(r.started) > AdoptWindow && !r.started.IsZero()
-	if len(totals) == 0 && !f.ackDue && ready == f.ready {
+	partial := !r.hearsAll(now)
+	if len(totals) == 0 && !f.ackDue && ready == f.ready && partial == f.partial {
 		return nil
 	}
 	f.seq++
-	f.ackDue, f.ready = false, ready
+	f.ackDue, f.ready, f.partial = false, ready, partial
 	m := &cleat.LedgerSums{
 		Relay: r.self.Instance, Incarnation: r.self.Incarnation,
-		Seq: f.seq, Whole: f.whole, Ready: ready, Agents: r.agents(), Totals: totals,
+		Seq: f.seq, Whole: f.whole, Ready: ready, Agents: r.agents(), Totals: totals, Partial: partial,
 	}
 	f.whole, f.sentAt = false, now
 	if own != nil && !own.gap {
--- a/ledger/fold.go
+++ b/ledger/fold.go
@@ -50,32 +50,32 @@
 	r.folded[w.agent] = max(r.folded[w.agent], w.incarnation)
 }
 
-// land stops counting what a row expects of running work.
-func (r *Relay) land(w *row) {
+// endInFlight stops counting what a row expects of running work.
+func (r *Relay) endInFlight(w *row) {
 	for i := range w.cells {
 		r.sums[i].inFlight -= w.cells[i].inFlight
 		w.cells[i].inFlight = 0
 	}
-	w.landed = true
+	w.ended = true
 }
 
-// expire lands the rows of agents that are silent.
+// expire ends the work in flight of agents that are silent.
 func (r *Relay) expire(now time.Time) {
 	if now.Sub(r.expired) < time.Second {
 		return
 	}
 	r.expired = now
 	for _, id := range r.order {
-		if w := r.newest(id); !w.landed && now.Sub(w.heard) > FlightBound {
-			r.land(w)
+		if w := r.newest(id); !w.ended && now.Sub(w.heard) > FlightBound {
+			r.endInFlight(w)
 		}
 	}
 }
 
-// forgive bounds how far a workspace that is being served lags behind another, so
+// limitLag bounds how far a workspace that is being served lags behind another, so
 // that what a long cut did is not repaid by shutting others out for as long. It
 // waits until every agent was heard: a partial view would raise who does not lag.
-func (r *Relay) forgive(now time.Time) {
+func (r *Relay) limitLag(now time.Time) {
 	if now.Sub(r.level) < time.Second || now.Sub(r.started) < AdoptWindow {
 		return
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -91,7 +91,7 @@
 		Expect(r.Total("w").Service).To(Equal(1060.0))
 	})
 
-	It("forgives a long lag once all agents were heard, and not before", func() {
+	It("limits a long lag once all agents were heard, and not before", func() {
 		r := newRelay(1)
 		r.Report(start, report("a", 5, 1, total("lead", 20000, 10), total("lag", 100, 10), total("idle", 50, 0)))
 		r.Report(start, report("b", 5, 1, total("lead", 0, 10)))
@@ -156,6 +156,29 @@
 		Expect(b.Account("w").Received()).To(Equal(900.0))
 	})
 
+	It("forgets what was raised in a partial view when the view is whole again", func() {
+		r := newRelay(1)
+		r.Report(start, report("a", 5, 1, total("w", 100, 0)))
+		r.Report(start, report("b", 5, 1, total("w", 50, 0)))
+		cut := start.Add(ledger.FreshBound + time.Second)
+		r.Report(cut, report("b", 5, 2, total("w", 60, 0)))
+		b := ledger.NewBook(cleat.Peer{Instance: "b", Incarnation: 5})
+		m := r.Sums(cut, "b")
+		Expect(m.Partial).To(BeTrue())
+		b.Sums(cut, m)
+		a := b.Account("w")
+		b.Raise(a, 500)
+		Expect(a.Received()).To(Equal(500.0))
+		Expect(a.Lift()).To(Equal(0.0))
+
+		healed := cut.Add(ledger.ReportInterval)
+		r.Report(healed, report("a", 5, 2, total("w", 300, 0)))
+		m = r.Sums(healed, "b")
+		Expect(m.Partial).To(BeFalse())
+		Expect(b.Sums(healed, m)).To(ContainElement(a))
+		Expect(a.Received()).To(Equal(300.0))
+	})
+
 	It("is ready only after whole sums without a gap", func() {
 		b := ledger.NewBook(cleat.Peer{Instance: "a", Incarnation: 5})
 		b.Sums(start, &cleat.LedgerSums{Relay: "r", Incarnation: 1, Seq: 1, Seen: 1, Whole: true})
--- a/ledger/relay.go
+++ b/ledger/relay.go
@@ -13,7 +13,7 @@
 	FlightBound   = 10 * time.Second // After which the level of a silent agent counts no more.
 	FoldAfter     = 10 * time.Minute // After a newer incarnation was heard.
 	MaxLag        = 4000.0           // Cost units for one share by which a workspace that is served may lag.
-	FreshBound    = 3 * time.Second  // Within which all agents must have reported before a lag is forgiven.
+	FreshBound    = 3 * time.Second  // Within which all agents must have reported before a lag is limited.
 	AbsentBound   = 2 * time.Hour    // After which a silent agent is not waited for.
 	SilentBound   = 24 * time.Hour   // After which a silent agent's totals are folded.
 )
@@ -77,7 +77,7 @@
 	for i := range m.Totals {
 		r.merge(w, &m.Totals[i], m.Whole || m.Seq >= w.seq)
 	}
-	w.landed = w.superseded
+	w.ended = w.superseded
 	if m.Whole && now.Sub(r.started) <= AdoptWindow {
 		r.adopt(w, m.Totals)
 	}
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -21,7 +21,7 @@
 	cells       []cell
 	heard       time.Time
 	superseded  bool
-	landed      bool // Its levels count no more.
+	ended       bool // Its levels count no more.
 }
 
 func (r *Relay) row(m *cleat.LedgerReport) *row {
@@ -47,7 +47,7 @@
 	rows[at] = w
 	for _, older := range rows[:len(rows)-1] {
 		older.superseded = true
-		r.land(older)
+		r.endInFlight(older)
 	}
 	r.rows[m.Agent] = rows
 	return w
--- a/message.go
+++ b/message.go
@@ -224,4 +224,5 @@
 	Ready       bool             `msgpack:"y,omitempty"` // The relay has heard the fleet, and nothing is left over for the next sums.
 	Agents      uint32           `msgpack:"n,omitempty"` // That the relay hears; the pace of reports follows from it.
 	Totals      []WorkspaceTotal `msgpack:"t"`
+	Partial     bool             `msgpack:"p,omitempty"` // Agents that may come back are silent.
 }
