--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -191,6 +191,25 @@
 		Expect(second.Stats().Started).To(Equal(1))
 	})
 
+	It("runs nothing of what waited when the entry is killed", func() {
+		a := f.add("a1")
+		p, err := fakes.StartPlain(fakes.PlainConfig{ID: "p1", Pool: "desk", AgentURL: "http://" + a.HTTPAddr(), Slots: 1})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(p.Close)
+		release := p.Hold()
+		defer release()
+		replies := []<-chan reply{f.ask("/pay", "{}"), f.ask("/pay", "{}"), f.ask("/pay", "{}")}
+		Eventually(f.entry.Abandoned, patience, "10ms").Should(ContainSubstring("2 waiting and 1 running"))
+		f.entry.Close()
+		f.dialer.Close()
+		for _, c := range replies {
+			Expect(receive(c).err).To(HaveOccurred())
+		}
+		release()
+		Eventually(a.Abandoned, patience).Should(HavePrefix("0 "))
+		Consistently(p.Total, "1s").Should(Equal(1))
+	})
+
 	It("runs a non-repeatable request once when an agent is killed before it was dispatched", func() {
 		a := f.add("a1")
 		first := startPlain(a)
