--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -10,9 +10,9 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/agent"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/role/agent"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 type options struct {
--- a/cmd/cleatctl/change.go
+++ b/cmd/cleatctl/change.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 const operationBytes = 12
--- a/cmd/cleatctl/ctrl.go
+++ b/cmd/cleatctl/ctrl.go
@@ -11,7 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 const (
--- a/cmd/cleatctl/env.go
+++ b/cmd/cleatctl/env.go
@@ -13,7 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/gravitational/trace"
 
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 const randomBytes = 32
--- a/cmd/cleatctl/exit.go
+++ b/cmd/cleatctl/exit.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 // The exit codes, as usageMain lists them.
--- a/cmd/cleatctl/export.go
+++ b/cmd/cleatctl/export.go
@@ -7,7 +7,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 const usageExport = `Prints the settings under a path in the form that import reads. Tokens and
--- a/cmd/cleatctl/get.go
+++ b/cmd/cleatctl/get.go
@@ -8,7 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 const usageGet = `Prints the setting at a path.
--- a/cmd/cleatctl/history.go
+++ b/cmd/cleatctl/history.go
@@ -8,7 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 const usageHistory = `Prints the last accepted changes: who, when and what. The last 1000 are kept.
--- a/cmd/cleatctl/import.go
+++ b/cmd/cleatctl/import.go
@@ -10,7 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 const usageImport = `Sets everything in an exported file in one change: all of it or none.
--- a/cmd/cleatctl/list.go
+++ b/cmd/cleatctl/list.go
@@ -7,7 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 const usageList = `Lists the settings under a path.
--- a/cmd/cleatctl/status.go
+++ b/cmd/cleatctl/status.go
@@ -10,7 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 const usageStatus = `Prints the state of the fleet, or of one workspace.
--- a/cmd/cleatctl/suite_test.go
+++ b/cmd/cleatctl/suite_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"marigoldcleat.example/cleat/ctrl"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/ctrl"
 )
 
 func TestCleatctl(t *testing.T) {
--- a/cmd/cleatctl/token.go
+++ b/cmd/cleatctl/token.go
@@ -10,8 +10,8 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/role/admin"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 const (
--- a/cmd/ctrl/main.go
+++ b/cmd/ctrl/main.go
@@ -10,9 +10,9 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/ctrl"
-	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/role/ctrl"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 const usage = `Runs one control instance of a marigoldcleat fleet.
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -12,9 +12,9 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/entry"
-	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/role/entry"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 type options struct {
--- a/cmd/gauge/bench/agenthost.go
+++ b/cmd/gauge/bench/agenthost.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/ledger"
-	"marigoldcleat.example/cleat/slots"
+	"marigoldcleat.example/cleat/policy/ledger"
+	"marigoldcleat.example/cleat/policy/slots"
 )
 
 // agentHost is an agent with its engines.
--- a/cmd/gauge/bench/central.go
+++ b/cmd/gauge/bench/central.go
@@ -4,7 +4,7 @@
 	"math"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/cost"
+	"marigoldcleat.example/cleat/policy/cost"
 )
 
 // PolicyName names a policy that a run may be measured under.
--- a/cmd/gauge/bench/controlhost.go
+++ b/cmd/gauge/bench/controlhost.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/ledger"
+	"marigoldcleat.example/cleat/policy/ledger"
 )
 
 // controlHost is a control instance's part in the ledger.
--- a/cmd/gauge/bench/entryhost.go
+++ b/cmd/gauge/bench/entryhost.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/queue"
+	"marigoldcleat.example/cleat/policy/queue"
 )
 
 // entryHost is an entry without its callers' connections.
--- a/cmd/gauge/bench/net.go
+++ b/cmd/gauge/bench/net.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
 )
 
 // Timing of links, as the wire package keeps it.
--- a/cmd/gauge/bench/ours.go
+++ b/cmd/gauge/bench/ours.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/route"
+	"marigoldcleat.example/cleat/policy/route"
 )
 
 // Timing of the roles around the deciding code.
--- a/cmd/gauge/bench/result.go
+++ b/cmd/gauge/bench/result.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/cost"
+	"marigoldcleat.example/cleat/policy/cost"
 )
 
 // Spread is a distribution by its quantiles, in seconds.
--- a/cmd/gauge/bench/watch.go
+++ b/cmd/gauge/bench/watch.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 const violationsKept = 20
--- a/cmd/gauge/path_load.go
+++ b/cmd/gauge/path_load.go
@@ -16,7 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/role/telem"
 )
 
 const (
--- a/cmd/gauge/path_rig.go
+++ b/cmd/gauge/path_rig.go
@@ -9,12 +9,12 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/agent"
-	"marigoldcleat.example/cleat/config"
-	"marigoldcleat.example/cleat/entry"
-	"marigoldcleat.example/cleat/fakes"
-	"marigoldcleat.example/cleat/telem"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/agent"
+	"marigoldcleat.example/cleat/role/entry"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/stand/fakes"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 const (
--- a/cmd/gauge/recovery.go
+++ b/cmd/gauge/recovery.go
@@ -11,11 +11,11 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/claim"
-	"marigoldcleat.example/cleat/config"
-	"marigoldcleat.example/cleat/fdisk"
-	"marigoldcleat.example/cleat/quorum"
-	"marigoldcleat.example/cleat/store"
+	"marigoldcleat.example/cleat/stand/fdisk"
+	"marigoldcleat.example/cleat/state/claim"
+	"marigoldcleat.example/cleat/state/config"
+	"marigoldcleat.example/cleat/state/quorum"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 const (
--- a/cmd/gauge/state.go
+++ b/cmd/gauge/state.go
@@ -13,8 +13,8 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat/cmd/gauge/bench"
-	"marigoldcleat.example/cleat/quorum"
-	"marigoldcleat.example/cleat/trial"
+	"marigoldcleat.example/cleat/stand/trial"
+	"marigoldcleat.example/cleat/state/quorum"
 )
 
 const usageState = `Measures the replicated control state: commit time, time without a leader, and
--- a/cmd/solo/control.go
+++ b/cmd/solo/control.go
@@ -10,8 +10,8 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
-	"marigoldcleat.example/cleat/ctrl"
+	"marigoldcleat.example/cleat/role/admin"
+	"marigoldcleat.example/cleat/role/ctrl"
 )
 
 const tokenFile = "root-token" // In the control instance's data folder.
--- a/cmd/solo/main.go
+++ b/cmd/solo/main.go
@@ -10,8 +10,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
 
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 func main() {
--- a/cmd/solo/solo.go
+++ b/cmd/solo/solo.go
@@ -10,12 +10,12 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/agent"
-	"marigoldcleat.example/cleat/ctrl"
-	"marigoldcleat.example/cleat/entry"
-	"marigoldcleat.example/cleat/fakes"
-	"marigoldcleat.example/cleat/node"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/agent"
+	"marigoldcleat.example/cleat/role/ctrl"
+	"marigoldcleat.example/cleat/role/entry"
+	"marigoldcleat.example/cleat/role/node"
+	"marigoldcleat.example/cleat/stand/fakes"
 )
 
 const (
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,7 +13,7 @@
 	"github.com/oklog/run"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/fakes"
+	"marigoldcleat.example/cleat/stand/fakes"
 )
 
 // leaveNotice is how long a stand-in announces that it leaves before it ends.
--- a/wire/bench_test.go
+++ b/link/wire/bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
 )
 
 // counter is a handler that counts messages.
--- a/wire/link_test.go
+++ b/link/wire/link_test.go
@@ -17,8 +17,8 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/fakes"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/stand/fakes"
 )
 
 const patience = 20 * time.Second
--- a/wire/suite_test.go
+++ b/link/wire/suite_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
 )
 
 func TestWire(t *testing.T) {
--- a/admit/limiter_test.go
+++ b/policy/admit/limiter_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admit"
+	"marigoldcleat.example/cleat/policy/admit"
 )
 
 // drive runs an upstream at its limit for d: gap gives the time between tokens
--- a/cost/estimator_test.go
+++ b/policy/cost/estimator_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/cost"
+	"marigoldcleat.example/cleat/policy/cost"
 )
 
 var _ = Describe("Estimator", func() {
--- a/fair/bench_test.go
+++ b/policy/fair/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"marigoldcleat.example/cleat/fair"
+	"marigoldcleat.example/cleat/policy/fair"
 )
 
 // BenchmarkPick takes the least served workspace and charges it.
--- a/fair/fair_test.go
+++ b/policy/fair/fair_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"marigoldcleat.example/cleat/fair"
+	"marigoldcleat.example/cleat/policy/fair"
 )
 
 var _ = Describe("Heap", func() {
--- a/ledger/bench_test.go
+++ b/policy/ledger/bench_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/ledger"
+	"marigoldcleat.example/cleat/policy/ledger"
 )
 
 // BenchmarkRelay merges one agent's report of 16 changed workspaces and hands
--- a/ledger/book.go
+++ b/policy/ledger/book.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // ReportInterval is how often an agent reports its totals.
--- a/ledger/ledger_test.go
+++ b/policy/ledger/ledger_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/ledger"
+	"marigoldcleat.example/cleat/policy/ledger"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 var start = time.Unix(1e9, 0)
--- a/member/table_test.go
+++ b/policy/member/table_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/member"
+	"marigoldcleat.example/cleat/policy/member"
 )
 
 func TestMember(t *testing.T) {
--- a/order/gate.go
+++ b/policy/order/gate.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // Verdict tells an agent what to do with an order.
--- a/order/order_test.go
+++ b/policy/order/order_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/order"
+	"marigoldcleat.example/cleat/policy/order"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 func TestOrder(t *testing.T) {
--- a/order/table.go
+++ b/policy/order/table.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // Upstream is one upstream as the leader's placement sees it.
--- a/queue/attempt.go
+++ b/policy/queue/attempt.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/route"
+	"marigoldcleat.example/cleat/policy/route"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // avoidHold is how long an agent is not offered a stream again after it granted
--- a/queue/fault_test.go
+++ b/policy/queue/fault_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/slots"
+	"marigoldcleat.example/cleat/policy/slots"
 )
 
 func once(w *cleat.Work) { w.Repeatable = false }
--- a/queue/fleet_test.go
+++ b/policy/queue/fleet_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/ledger"
-	"marigoldcleat.example/cleat/queue"
-	"marigoldcleat.example/cleat/slots"
+	"marigoldcleat.example/cleat/policy/ledger"
+	"marigoldcleat.example/cleat/policy/queue"
+	"marigoldcleat.example/cleat/policy/slots"
 )
 
 // event is something that happens at a virtual time.
--- a/queue/offer.go
+++ b/policy/queue/offer.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/route"
+	"marigoldcleat.example/cleat/policy/route"
 )
 
 // enough is how much waiting work an agent needs to know of: more than it
--- a/queue/random_test.go
+++ b/policy/queue/random_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // TestRandomFaults drives real tables through random faults and checks that
--- a/queue/suite_test.go
+++ b/policy/queue/suite_test.go
@@ -6,7 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 func TestQueue(t *testing.T) {
--- a/queue/table.go
+++ b/policy/queue/table.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/cost"
-	"marigoldcleat.example/cleat/fair"
+	"marigoldcleat.example/cleat/policy/cost"
+	"marigoldcleat.example/cleat/policy/fair"
 )
 
 // Table holds an entry's decisions.
--- a/queue/workspace.go
+++ b/policy/queue/workspace.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/retry"
+	"marigoldcleat.example/cleat/policy/retry"
 )
 
 // workspace is one workspace at this entry.
--- a/route/subset_test.go
+++ b/policy/route/subset_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/route"
+	"marigoldcleat.example/cleat/policy/route"
 )
 
 func TestRoute(t *testing.T) {
--- a/slots/bench_test.go
+++ b/policy/slots/bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/slots"
+	"marigoldcleat.example/cleat/policy/slots"
 )
 
 // BenchmarkGrant measures one free slot handed on: a request ends, the next
--- a/slots/config.go
+++ b/policy/slots/config.go
@@ -6,7 +6,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admit"
+	"marigoldcleat.example/cleat/policy/admit"
 )
 
 // Config sets an agent's pace and bounds.
--- a/slots/flow.go
+++ b/policy/slots/flow.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/fair"
-	"marigoldcleat.example/cleat/ledger"
+	"marigoldcleat.example/cleat/policy/fair"
+	"marigoldcleat.example/cleat/policy/ledger"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // flow is one workspace at this agent.
--- a/slots/grant.go
+++ b/policy/slots/grant.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/fair"
+	"marigoldcleat.example/cleat/policy/fair"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // grant is a slot lent to an entry until it dispatches, declines or lets it expire.
--- a/slots/run.go
+++ b/policy/slots/run.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // run is an attempt on an upstream.
--- a/slots/table.go
+++ b/policy/slots/table.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/fair"
-	"marigoldcleat.example/cleat/ledger"
+	"marigoldcleat.example/cleat/policy/fair"
+	"marigoldcleat.example/cleat/policy/ledger"
 )
 
 // poolKey names what requests and upstreams are matched by.
--- a/slots/table_test.go
+++ b/policy/slots/table_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/slots"
+	"marigoldcleat.example/cleat/policy/slots"
 )
 
 // bench is one agent's table with one entry and one upstream.
--- a/slots/upstream.go
+++ b/policy/slots/upstream.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admit"
-	"marigoldcleat.example/cleat/fair"
+	"marigoldcleat.example/cleat/policy/admit"
+	"marigoldcleat.example/cleat/policy/fair"
 )
 
 // upstream is one upstream beside this agent.
--- a/admin/client_test.go
+++ b/role/admin/client_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
+	"marigoldcleat.example/cleat/role/admin"
 )
 
 func TestAdmin(t *testing.T) {
--- a/admin/types.go
+++ b/role/admin/types.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // Paths of the API.
--- a/agent/agent.go
+++ b/role/agent/agent.go
@@ -17,10 +17,10 @@
 	"github.com/labstack/echo/v4"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/node"
-	"marigoldcleat.example/cleat/slots"
-	"marigoldcleat.example/cleat/telem"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/policy/slots"
+	"marigoldcleat.example/cleat/role/node"
+	"marigoldcleat.example/cleat/role/telem"
 )
 
 const (
--- a/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -11,9 +11,9 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/agent"
-	"marigoldcleat.example/cleat/fakes"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/agent"
+	"marigoldcleat.example/cleat/stand/fakes"
 )
 
 // wholeStream checks that text is a stream of n tokens with none missing or doubled.
--- a/agent/api.go
+++ b/role/agent/api.go
@@ -9,7 +9,7 @@
 	"github.com/labstack/echo/v4/middleware"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/role/telem"
 )
 
 const maxReportBody = "1M" // Of an announcement, load report or cache event.
--- a/agent/config.go
+++ b/role/agent/config.go
@@ -6,9 +6,9 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/node"
-	"marigoldcleat.example/cleat/slots"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/policy/slots"
+	"marigoldcleat.example/cleat/role/node"
 )
 
 // Defaults of Config.
--- a/agent/engine_test.go
+++ b/role/agent/engine_test.go
@@ -13,8 +13,8 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/agent"
-	"marigoldcleat.example/cleat/fakes"
+	"marigoldcleat.example/cleat/role/agent"
+	"marigoldcleat.example/cleat/stand/fakes"
 )
 
 // collector is an answer sink that keeps everything.
--- a/agent/link.go
+++ b/role/agent/link.go
@@ -2,7 +2,7 @@
 
 import (
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/slots"
+	"marigoldcleat.example/cleat/policy/slots"
 )
 
 // LinkUp takes a link from an entry, in place of an earlier one.
--- a/agent/path_test.go
+++ b/role/agent/path_test.go
@@ -14,11 +14,11 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/agent"
-	roleentry "marigoldcleat.example/cleat/entry"
-	"marigoldcleat.example/cleat/fakes"
-	"marigoldcleat.example/cleat/telem"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/agent"
+	roleentry "marigoldcleat.example/cleat/role/entry"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/stand/fakes"
 )
 
 const (
--- a/agent/run.go
+++ b/role/agent/run.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
 )
 
 // Causes for which a run's context ends.
--- a/agent/run_test.go
+++ b/role/agent/run_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/agent"
+	"marigoldcleat.example/cleat/role/agent"
 )
 
 // tape is a link that keeps copies of parts, may double or cross them, and breaks.
--- a/agent/soak_test.go
+++ b/role/agent/soak_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/fakes"
+	"marigoldcleat.example/cleat/stand/fakes"
 )
 
 // Size of the randomised run; CLEAT_SOAK_SEED takes another seed.
--- a/agent/suite_test.go
+++ b/role/agent/suite_test.go
@@ -12,10 +12,10 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/agent"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/fakes"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/agent"
+	"marigoldcleat.example/cleat/stand/assert"
+	"marigoldcleat.example/cleat/stand/fakes"
 )
 
 const patience = 20 * time.Second
--- a/ctrl/address.go
+++ b/role/ctrl/address.go
@@ -11,7 +11,7 @@
 
 	"github.com/gravitational/trace"
 
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
 )
 
 // Files in the data folder besides the log's.
--- a/ctrl/api.go
+++ b/role/ctrl/api.go
@@ -10,9 +10,9 @@
 	"github.com/labstack/echo/v4/middleware"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
-	"marigoldcleat.example/cleat/config"
-	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/role/admin"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // fleetToken marks calls that only a token for the whole fleet may make.
--- a/ctrl/api_settings.go
+++ b/role/ctrl/api_settings.go
@@ -11,8 +11,8 @@
 	"github.com/labstack/echo/v4"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/role/admin"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // Bounds of queries.
--- a/ctrl/api_status.go
+++ b/role/ctrl/api_status.go
@@ -7,9 +7,9 @@
 	"github.com/labstack/echo/v4"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/role/admin"
+	"marigoldcleat.example/cleat/stand/assert"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 func (r *Role) getStatus(c echo.Context, _ caller) error {
--- a/ctrl/bench_test.go
+++ b/role/ctrl/bench_test.go
@@ -13,11 +13,11 @@
 	"github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
-	"marigoldcleat.example/cleat/ctrl"
-	"marigoldcleat.example/cleat/fdisk"
-	"marigoldcleat.example/cleat/node"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/admin"
+	"marigoldcleat.example/cleat/role/ctrl"
+	"marigoldcleat.example/cleat/role/node"
+	"marigoldcleat.example/cleat/stand/fdisk"
 )
 
 const syncDelay = 2 * time.Millisecond
--- a/ctrl/config.go
+++ b/role/ctrl/config.go
@@ -6,9 +6,9 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/member"
-	"marigoldcleat.example/cleat/order"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/policy/member"
+	"marigoldcleat.example/cleat/policy/order"
 )
 
 // Defaults of Config.
--- a/ctrl/export_test.go
+++ b/role/ctrl/export_test.go
@@ -1,8 +1,8 @@
 package ctrl
 
 import (
-	"marigoldcleat.example/cleat/claim"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/state/claim"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // EncodeChange returns a change as the replicated log holds it.
--- a/ctrl/leader.go
+++ b/role/ctrl/leader.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"marigoldcleat.example/cleat/claim"
+	"marigoldcleat.example/cleat/state/claim"
 )
 
 // leaderLoop does what only the leader does: settle the claims of lost
--- a/ctrl/machine.go
+++ b/role/ctrl/machine.go
@@ -8,9 +8,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/claim"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/stand/assert"
+	"marigoldcleat.example/cleat/state/claim"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // command is one entry of the replicated log; exactly one field is set.
--- a/ctrl/machine_test.go
+++ b/role/ctrl/machine_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/claim"
-	"marigoldcleat.example/cleat/config"
-	"marigoldcleat.example/cleat/ctrl"
+	"marigoldcleat.example/cleat/role/ctrl"
+	"marigoldcleat.example/cleat/state/claim"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 func init() {
--- a/ctrl/metrics.go
+++ b/role/ctrl/metrics.go
@@ -7,7 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 const gaugeInterval = time.Second
--- a/ctrl/orders.go
+++ b/role/ctrl/orders.go
@@ -7,8 +7,8 @@
 	"slices"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
-	"marigoldcleat.example/cleat/order"
+	"marigoldcleat.example/cleat/policy/order"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // issueOrders decides on orders and sends them while this instance may.
--- a/ctrl/partition_test.go
+++ b/role/ctrl/partition_test.go
@@ -15,8 +15,8 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
-	"marigoldcleat.example/cleat/node"
+	"marigoldcleat.example/cleat/role/admin"
+	"marigoldcleat.example/cleat/role/node"
 )
 
 // relay passes connections on until it is cut, which its ends don't notice.
--- a/ctrl/propose.go
+++ b/role/ctrl/propose.go
@@ -8,8 +8,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/claim"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/state/claim"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // propose puts a command through the replicated log and decodes its result.
--- a/ctrl/push.go
+++ b/role/ctrl/push.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // pushLoop sends settings to registered nodes as soon as they change.
--- a/ctrl/replicas.go
+++ b/role/ctrl/replicas.go
@@ -8,7 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/quorum"
+	"marigoldcleat.example/cleat/state/quorum"
 )
 
 // Times of a change of the replicated log's members.
--- a/ctrl/role.go
+++ b/role/ctrl/role.go
@@ -18,13 +18,13 @@
 	"github.com/oklog/run"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/ledger"
-	"marigoldcleat.example/cleat/member"
-	"marigoldcleat.example/cleat/order"
-	"marigoldcleat.example/cleat/quorum"
-	"marigoldcleat.example/cleat/store"
-	"marigoldcleat.example/cleat/telem"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/policy/ledger"
+	"marigoldcleat.example/cleat/policy/member"
+	"marigoldcleat.example/cleat/policy/order"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/state/quorum"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 const shutdownTimeout = 5 * time.Second
--- a/ctrl/role_test.go
+++ b/role/ctrl/role_test.go
@@ -18,12 +18,12 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
-	"marigoldcleat.example/cleat/config"
-	"marigoldcleat.example/cleat/ctrl"
-	"marigoldcleat.example/cleat/fdisk"
-	"marigoldcleat.example/cleat/member"
-	"marigoldcleat.example/cleat/node"
+	"marigoldcleat.example/cleat/policy/member"
+	"marigoldcleat.example/cleat/role/admin"
+	"marigoldcleat.example/cleat/role/ctrl"
+	"marigoldcleat.example/cleat/role/node"
+	"marigoldcleat.example/cleat/stand/fdisk"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 func write(operation, path, value string) cleat.Change {
--- a/ctrl/suite_test.go
+++ b/role/ctrl/suite_test.go
@@ -16,12 +16,12 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/admin"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/ctrl"
-	"marigoldcleat.example/cleat/node"
-	"marigoldcleat.example/cleat/store"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/admin"
+	"marigoldcleat.example/cleat/role/ctrl"
+	"marigoldcleat.example/cleat/role/node"
+	"marigoldcleat.example/cleat/stand/assert"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 func TestCtrl(t *testing.T) {
--- a/ctrl/token.go
+++ b/role/ctrl/token.go
@@ -11,7 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 const (
--- a/entry/answer.go
+++ b/role/entry/answer.go
@@ -2,7 +2,7 @@
 
 import (
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // answer puts the parts of one attempt's answer together in order.
--- a/entry/answer_test.go
+++ b/role/entry/answer_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/entry"
+	"marigoldcleat.example/cleat/role/entry"
 )
 
 const answerSeed = "1701"
--- a/entry/config.go
+++ b/role/entry/config.go
@@ -6,7 +6,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/queue"
+	"marigoldcleat.example/cleat/policy/queue"
 )
 
 // Defaults of Config.
--- a/entry/daemon.go
+++ b/role/entry/daemon.go
@@ -13,11 +13,11 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
-	"marigoldcleat.example/cleat/node"
-	"marigoldcleat.example/cleat/route"
-	"marigoldcleat.example/cleat/telem"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/policy/route"
+	"marigoldcleat.example/cleat/role/node"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 const (
--- a/entry/dispatch.go
+++ b/role/entry/dispatch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
 )
 
 // decide lets the table decide under Entry.mu and carries its effects out after
--- a/entry/entry.go
+++ b/role/entry/entry.go
@@ -17,8 +17,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/queue"
-	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/policy/queue"
+	"marigoldcleat.example/cleat/role/telem"
 )
 
 const (
--- a/entry/path_test.go
+++ b/role/entry/path_test.go
@@ -13,8 +13,8 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/entry"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/entry"
 )
 
 var _ = Describe("the path of a request", func() {
--- a/entry/refusal_test.go
+++ b/role/entry/refusal_test.go
@@ -15,7 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/entry"
+	"marigoldcleat.example/cleat/role/entry"
 )
 
 var _ = Describe("a refusal", func() {
--- a/entry/rig_test.go
+++ b/role/entry/rig_test.go
@@ -17,9 +17,9 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/entry"
-	"marigoldcleat.example/cleat/telem"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/entry"
+	"marigoldcleat.example/cleat/role/telem"
 )
 
 const (
--- a/entry/serve.go
+++ b/role/entry/serve.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // exchange is one request and its answer, as the caller's goroutine sees them.
--- a/entry/suite_test.go
+++ b/role/entry/suite_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/format"
 
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 func TestEntry(t *testing.T) {
--- a/node/client.go
+++ b/role/node/client.go
@@ -10,9 +10,9 @@
 	"github.com/charmbracelet/log"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
-	"marigoldcleat.example/cleat/member"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/policy/member"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // Client is a node's client to the control instances.
--- a/node/links.go
+++ b/role/node/links.go
@@ -4,7 +4,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // LinkUp begins to use a control instance when none is in use.
--- a/node/node_test.go
+++ b/role/node/node_test.go
@@ -12,9 +12,9 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/node"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/node"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 func TestNode(t *testing.T) {
--- a/node/orders.go
+++ b/role/node/orders.go
@@ -2,7 +2,7 @@
 
 import (
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/order"
+	"marigoldcleat.example/cleat/policy/order"
 )
 
 // orders carries out each order once and answers copies of it.
--- a/telem/flags.go
+++ b/role/telem/flags.go
@@ -11,7 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
 )
 
 // MinFleetKeyBytes is the least length of the shared fleet key.
--- a/telem/links.go
+++ b/role/telem/links.go
@@ -4,7 +4,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/wire"
+	"marigoldcleat.example/cleat/link/wire"
 )
 
 // payloadKinds are the messages that carry callers' bytes; all others are control traffic.
--- a/telem/telem_test.go
+++ b/role/telem/telem_test.go
@@ -18,7 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/telem"
+	"marigoldcleat.example/cleat/role/telem"
 )
 
 var _ = Describe("Flags", func() {
--- a/fakes/engine_test.go
+++ b/stand/fakes/engine_test.go
@@ -14,7 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/fakes"
+	"marigoldcleat.example/cleat/stand/fakes"
 )
 
 const patience = 20 * time.Second
--- a/trial/action.go
+++ b/stand/trial/action.go
@@ -4,7 +4,7 @@
 	"math/rand"
 	"time"
 
-	"marigoldcleat.example/cleat/quorum"
+	"marigoldcleat.example/cleat/state/quorum"
 )
 
 // Pick chooses a number from 0 up to but not including n.
--- a/trial/check.go
+++ b/stand/trial/check.go
@@ -6,7 +6,7 @@
 
 	"github.com/gravitational/trace"
 
-	"marigoldcleat.example/cleat/quorum"
+	"marigoldcleat.example/cleat/state/quorum"
 )
 
 // errUnanswered stands for a caller who got no answer.
--- a/trial/cluster.go
+++ b/stand/trial/cluster.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/quorum"
+	"marigoldcleat.example/cleat/state/quorum"
 )
 
 // Config sets up a cluster.
--- a/trial/links.go
+++ b/stand/trial/links.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/quorum"
+	"marigoldcleat.example/cleat/state/quorum"
 )
 
 // Faults is how links treat messages.
--- a/trial/node.go
+++ b/stand/trial/node.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/fdisk"
-	"marigoldcleat.example/cleat/quorum"
-	"marigoldcleat.example/cleat/store"
+	"marigoldcleat.example/cleat/stand/fdisk"
+	"marigoldcleat.example/cleat/state/quorum"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 const (
--- a/claim/claim_test.go
+++ b/state/claim/claim_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/claim"
+	"marigoldcleat.example/cleat/state/claim"
 )
 
 func TestClaim(t *testing.T) {
--- a/claim/machine_test.go
+++ b/state/claim/machine_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/claim"
+	"marigoldcleat.example/cleat/stand/assert"
+	"marigoldcleat.example/cleat/state/claim"
 )
 
 func init() {
--- a/claim/table.go
+++ b/state/claim/table.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // Table is the claims of the fleet: equal commands in equal order give equal
--- a/config/bench_test.go
+++ b/state/config/bench_test.go
@@ -8,7 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 // planned returns settings of the planned size: 2,800 workspaces with shares.
--- a/config/image.go
+++ b/state/config/image.go
@@ -7,7 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // image is the whole state in the form a snapshot of the log keeps.
--- a/config/machine_test.go
+++ b/state/config/machine_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/stand/assert"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 func init() {
--- a/config/state_test.go
+++ b/state/config/state_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 func set(s *config.State, op, token, path, value string) cleat.ChangeResult {
--- a/config/value_test.go
+++ b/state/config/value_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/config"
+	"marigoldcleat.example/cleat/state/config"
 )
 
 var _ = Describe("Settings", func() {
--- a/config/view.go
+++ b/state/config/view.go
@@ -6,7 +6,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // PieceBytes bounds the documents in one Settings message.
--- a/quorum/compact.go
+++ b/state/quorum/compact.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // AskSnapshot has a snapshot taken soon.
--- a/quorum/core.go
+++ b/state/quorum/core.go
@@ -7,7 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // Duty is the part a replica plays in the present term.
--- a/quorum/entrylog.go
+++ b/state/quorum/entrylog.go
@@ -1,6 +1,6 @@
 package quorum
 
-import "marigoldcleat.example/cleat/assert"
+import "marigoldcleat.example/cleat/stand/assert"
 
 // entryLog holds the entries that are in memory: those after the snapshot and
 // some before it.
--- a/quorum/fault_test.go
+++ b/state/quorum/fault_test.go
@@ -6,8 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"marigoldcleat.example/cleat/quorum"
-	"marigoldcleat.example/cleat/trial"
+	"marigoldcleat.example/cleat/stand/trial"
+	"marigoldcleat.example/cleat/state/quorum"
 )
 
 var _ = Describe("Faults", func() {
--- a/quorum/host.go
+++ b/state/quorum/host.go
@@ -13,7 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/store"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 const (
--- a/quorum/host_test.go
+++ b/state/quorum/host_test.go
@@ -16,9 +16,9 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/fdisk"
-	"marigoldcleat.example/cleat/quorum"
-	"marigoldcleat.example/cleat/store"
+	"marigoldcleat.example/cleat/stand/fdisk"
+	"marigoldcleat.example/cleat/state/quorum"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 // counter is a state machine that joins all commands.
--- a/quorum/journal.go
+++ b/state/quorum/journal.go
@@ -4,7 +4,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"marigoldcleat.example/cleat/store"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 // record is what the log store holds; exactly one field is set.
--- a/quorum/persist.go
+++ b/state/quorum/persist.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // persist gathers what must be synced for the next batch.
--- a/quorum/random_test.go
+++ b/state/quorum/random_test.go
@@ -6,8 +6,8 @@
 
 	"pgregory.net/rapid"
 
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/trial"
+	"marigoldcleat.example/cleat/stand/assert"
+	"marigoldcleat.example/cleat/stand/trial"
 )
 
 // seedFlag is rapid's; a fixed one makes every run of the tests the same.
--- a/quorum/replica.go
+++ b/state/quorum/replica.go
@@ -8,7 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/assert"
+	"marigoldcleat.example/cleat/stand/assert"
 )
 
 // Replica is a Core with its state machine, its waiting callers and its
--- a/quorum/replica_test.go
+++ b/state/quorum/replica_test.go
@@ -7,9 +7,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"marigoldcleat.example/cleat/fdisk"
-	"marigoldcleat.example/cleat/quorum"
-	"marigoldcleat.example/cleat/store"
+	"marigoldcleat.example/cleat/stand/fdisk"
+	"marigoldcleat.example/cleat/state/quorum"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 // entries returns empty entries of one term with consecutive places.
--- a/quorum/suite_test.go
+++ b/state/quorum/suite_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"marigoldcleat.example/cleat/assert"
-	"marigoldcleat.example/cleat/trial"
+	"marigoldcleat.example/cleat/stand/assert"
+	"marigoldcleat.example/cleat/stand/trial"
 )
 
 func TestQuorum(t *testing.T) {
--- a/quorum/worker.go
+++ b/state/quorum/worker.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"marigoldcleat.example/cleat/store"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 // tickWorker lets time pass.
--- a/store/store_test.go
+++ b/state/store/store_test.go
@@ -13,8 +13,8 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
-	"marigoldcleat.example/cleat/fdisk"
-	"marigoldcleat.example/cleat/store"
+	"marigoldcleat.example/cleat/stand/fdisk"
+	"marigoldcleat.example/cleat/state/store"
 )
 
 func TestStore(t *testing.T) {
