--- /dev/null
+++ b/cmd/hosted/main.go
@@ -0,0 +1,108 @@
+// Command hosted runs the fleet's roles on the users' platform.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/platform"
+	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/stand/assert"
+)
+
+const usage = `Runs one process of a marigoldcleat fleet on the users' platform.
+
+Addresses, failure domain and bounds come from the platform's settings file,
+whose path the environment variable ` + platform.BootVariable + ` holds:
+
+  hosted entry     takes callers' requests and forwards them to upstreams
+  hosted control   keeps the fleet's configuration and knows its upstreams`
+
+// flushTimeout bounds how long the last log lines are waited for.
+const flushTimeout = 200 * time.Millisecond
+
+// settings are the flags of this program.
+type settings struct {
+	key      string
+	file     string
+	logLevel string
+}
+
+func main() {
+	app := kingpin.New("hosted", usage)
+	s := &settings{}
+	app.Flag("fleet-key", "Key shared by all instances of the fleet.").Envar("CLEAT_FLEET_KEY").Required().StringVar(&s.key)
+	app.Flag("settings-file", "The platform's settings file.").Envar(platform.BootVariable).Required().StringVar(&s.file)
+	app.Flag("log-level", "Least level to log: debug, info, warn or error.").Envar("CLEAT_LOG_LEVEL").Default("info").StringVar(&s.logLevel)
+	entry := app.Command("entry", "Takes callers' requests and forwards them to upstreams.")
+	control := app.Command("control", "Keeps the fleet's configuration and knows its upstreams.")
+	command, err := app.Parse(os.Args[1:])
+	if err != nil {
+		exitUsage(err)
+	}
+	boot, err := platform.ReadBoot(s.file)
+	if err != nil {
+		exitUsage(err)
+	}
+	lines := telem.NewLineWriter(os.Stdout)
+	logger, err := telem.NewLogger(lines, &telem.Flags{ID: string(boot.Instance), LogLevel: s.logLevel, LogFormat: "logfmt"})
+	if err != nil {
+		exitUsage(err)
+	}
+	assert.SetHook(func(name, msg string) { logger.Error("invariant violated", "invariant", name, "seen", msg) })
+	limitMemory(boot)
+	logger.Info("starting", "command", command, "first_start", boot.FirstStart, "controls", boot.Controls, "memory", boot.MemoryBytes)
+	err = nil
+	switch command {
+	case entry.FullCommand():
+		err = runEntry(s, boot, logger)
+	case control.FullCommand():
+		err = runControl(s, boot, logger)
+	}
+	exit(logger, lines, err)
+}
+
+func exitUsage(err error) {
+	fmt.Fprintln(os.Stderr, "hosted:", trace.UserMessage(err))
+	os.Exit(1)
+}
+
+func exit(logger *log.Logger, lines *telem.LineWriter, err error) {
+	code := 0
+	if err != nil {
+		code = 1
+		logger.Error("stopped", "err", err)
+	} else {
+		logger.Info("stopped", "lines_dropped", lines.Dropped())
+	}
+	lines.Flush(flushTimeout)
+	os.Exit(code)
+}
+
+// Times of links: a silent one is noticed well within the time after which an
+// instance must act on what control says.
+const (
+	linkPing        = 500 * time.Millisecond
+	linkTimeout     = 2 * time.Second
+	linkDialTimeout = 800 * time.Millisecond
+	linkMaxBackoff  = 500 * time.Millisecond
+)
+
+func (s *settings) links() (wire.Config, error) {
+	cfg := wire.Config{
+		Key: []byte(s.key), PingInterval: linkPing, PeerTimeout: linkTimeout, DialTimeout: linkDialTimeout, MaxBackoff: linkMaxBackoff,
+	}
+	cfg.Defaults()
+	return cfg, trace.Wrap(cfg.Validate())
+}
+
+// controlName names a control instance by its link address, so that all
+// instances find it.
+func controlName(address string) cleat.InstanceID { return cleat.InstanceID(address) }
--- a/control.go
+++ b/control.go
@@ -13,6 +13,8 @@
 	Models   []ModelID         `msgpack:"m,omitempty"` // Served by an agent's upstreams.
 	Status   []WorkspaceStatus `msgpack:"s,omitempty"`
 
+	Manifest uint64 `msgpack:"v,omitempty"` // Version of the manifest in force at the instance.
+
 	Upstreams []HostedUpstream `msgpack:"u,omitempty"` // Of an agent, for placement and orders.
 	Demand    []ModelDemand    `msgpack:"d,omitempty"` // Of an entry, for placement.
 }
--- a/kind.go
+++ b/kind.go
@@ -92,6 +92,18 @@
 // Kind returns KindReplicaChanged.
 func (*ReplicaChanged) Kind() MessageKind { return KindReplicaChanged }
 
+// Kind returns KindManifestRead.
+func (*ManifestRead) Kind() MessageKind { return KindManifestRead }
+
+// Kind returns KindManifestUpdate.
+func (*ManifestUpdate) Kind() MessageKind { return KindManifestUpdate }
+
+// Kind returns KindUpstreamUpdate.
+func (*UpstreamUpdate) Kind() MessageKind { return KindUpstreamUpdate }
+
+// Kind returns KindPlacementReport.
+func (*PlacementReport) Kind() MessageKind { return KindPlacementReport }
+
 // NewMessage returns an empty message of kind k for a codec to fill, or a
 // trace.BadParameter error for an unknown kind.
 func NewMessage(k MessageKind) (Message, error) {
@@ -103,34 +115,38 @@
 }
 
 var messageTypes = map[MessageKind]func() Message{
-	KindHello:          func() Message { return new(Hello) },
-	KindOffers:         func() Message { return new(Offers) },
-	KindGrants:         func() Message { return new(Grants) },
-	KindDecline:        func() Message { return new(Decline) },
-	KindDispatch:       func() Message { return new(Dispatch) },
-	KindBody:           func() Message { return new(Body) },
-	KindPart:           func() Message { return new(Part) },
-	KindPartAck:        func() Message { return new(PartAck) },
-	KindResume:         func() Message { return new(Resume) },
-	KindCancel:         func() Message { return new(Cancel) },
-	KindRefused:        func() Message { return new(Refused) },
-	KindAgentState:     func() Message { return new(AgentState) },
-	KindAsk:            func() Message { return new(Ask) },
-	KindLedgerReport:   func() Message { return new(LedgerReport) },
-	KindLedgerSums:     func() Message { return new(LedgerSums) },
-	KindRegister:       func() Message { return new(Register) },
-	KindMembers:        func() Message { return new(Members) },
-	KindSettingsRead:   func() Message { return new(SettingsRead) },
-	KindSettings:       func() Message { return new(Settings) },
-	KindClaim:          func() Message { return new(Claim) },
-	KindClaimResult:    func() Message { return new(ClaimResult) },
-	KindClaimOutcome:   func() Message { return new(ClaimOutcome) },
-	KindOrder:          func() Message { return new(Order) },
-	KindOrderResult:    func() Message { return new(OrderResult) },
-	KindPeer:           func() Message { return new(PeerMessage) },
-	KindPing:           func() Message { return new(Ping) },
-	KindStatusRead:     func() Message { return new(StatusRead) },
-	KindStatusReport:   func() Message { return new(StatusReport) },
-	KindReplicaChange:  func() Message { return new(ReplicaChange) },
-	KindReplicaChanged: func() Message { return new(ReplicaChanged) },
+	KindHello:           func() Message { return new(Hello) },
+	KindOffers:          func() Message { return new(Offers) },
+	KindGrants:          func() Message { return new(Grants) },
+	KindDecline:         func() Message { return new(Decline) },
+	KindDispatch:        func() Message { return new(Dispatch) },
+	KindBody:            func() Message { return new(Body) },
+	KindPart:            func() Message { return new(Part) },
+	KindPartAck:         func() Message { return new(PartAck) },
+	KindResume:          func() Message { return new(Resume) },
+	KindCancel:          func() Message { return new(Cancel) },
+	KindRefused:         func() Message { return new(Refused) },
+	KindAgentState:      func() Message { return new(AgentState) },
+	KindAsk:             func() Message { return new(Ask) },
+	KindLedgerReport:    func() Message { return new(LedgerReport) },
+	KindLedgerSums:      func() Message { return new(LedgerSums) },
+	KindRegister:        func() Message { return new(Register) },
+	KindMembers:         func() Message { return new(Members) },
+	KindSettingsRead:    func() Message { return new(SettingsRead) },
+	KindSettings:        func() Message { return new(Settings) },
+	KindClaim:           func() Message { return new(Claim) },
+	KindClaimResult:     func() Message { return new(ClaimResult) },
+	KindClaimOutcome:    func() Message { return new(ClaimOutcome) },
+	KindOrder:           func() Message { return new(Order) },
+	KindOrderResult:     func() Message { return new(OrderResult) },
+	KindPeer:            func() Message { return new(PeerMessage) },
+	KindPing:            func() Message { return new(Ping) },
+	KindStatusRead:      func() Message { return new(StatusRead) },
+	KindStatusReport:    func() Message { return new(StatusReport) },
+	KindReplicaChange:   func() Message { return new(ReplicaChange) },
+	KindReplicaChanged:  func() Message { return new(ReplicaChanged) },
+	KindManifestRead:    func() Message { return new(ManifestRead) },
+	KindManifestUpdate:  func() Message { return new(ManifestUpdate) },
+	KindUpstreamUpdate:  func() Message { return new(UpstreamUpdate) },
+	KindPlacementReport: func() Message { return new(PlacementReport) },
 }
--- a/message.go
+++ b/message.go
@@ -43,6 +43,10 @@
 	KindStatusReport
 	KindReplicaChange
 	KindReplicaChanged
+	KindManifestRead
+	KindManifestUpdate
+	KindUpstreamUpdate
+	KindPlacementReport
 	KindLimit // Above every kind.
 )
 
--- /dev/null
+++ b/policy/place/job.go
@@ -0,0 +1,54 @@
+package place
+
+import (
+	"time"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Job is a request as the planner sees it.
+type Job struct {
+	ID        uint64 // Unique within the planner.
+	Service   cleat.ServiceName
+	Workspace cleat.WorkspaceID
+	Rank      int // Lower goes first.
+	Parts     []cleat.PromptPart
+	Prompt    int // Tokens; zero at a plain service.
+	Output    int // Tokens expected.
+	Arrived   time.Time
+	Target    time.Time // By when the answer or its first event is on time.
+	Deadline  time.Time
+	Avoid     []cleat.UpstreamID // Sent to without success.
+
+	upstream *upstream
+	unread   int // Prompt tokens that the upstream has to read.
+	memory   int // Tokens that it holds there.
+	begun    bool
+	last     time.Time // Its newest event.
+	sent     time.Time
+	ahead    int // Unread tokens before it at the upstream when it was sent.
+}
+
+// Verdict tells what becomes of a job.
+type Verdict struct {
+	Job        *Job
+	Upstream   cleat.UpstreamRecord // Where to send it; its Upstream field is empty when refused.
+	RetryAfter time.Duration        // When there should be room; set when refused.
+	Reason     Reason               // Set when refused.
+}
+
+// Placed reports whether the job is to be sent.
+func (v Verdict) Placed() bool { return v.Upstream.Upstream != "" }
+
+// Reason tells why a job is refused.
+type Reason string
+
+// The reasons to refuse a job.
+const (
+	ReasonNoUpstream Reason = "no_upstream" // None of the service is known, or all were tried.
+	ReasonOverload   Reason = "overload"    // It can't be served in time.
+)
+
+// costUnits is what a job takes of the fleet's capacity: a token read counts
+// once, a token written twice.
+func (j *Job) costUnits() int { return max(1, j.Prompt+2*j.Output) }
--- /dev/null
+++ b/policy/place/planner.go
@@ -0,0 +1,298 @@
+package place
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Defaults of Config.
+const (
+	DefaultUseWindow   = 4 * time.Second
+	DefaultMargin      = 30 * time.Millisecond // Network and the first step of an engine.
+	DefaultAwayPenalty = 15 * time.Millisecond // Two crossings and the bytes between failure domains.
+	DefaultLateBacklog = 150 * time.Millisecond
+	DefaultMaxRetry    = 4 * time.Second
+)
+
+// Config sets up a planner.
+type Config struct {
+	Domain      cleat.DomainID // Of the entry.
+	UseWindow   time.Duration  // Over which workspaces' use of capacity is accounted.
+	Margin      time.Duration  // Kept between the expected first event and the objective.
+	AwayPenalty time.Duration  // Added to the wait at an upstream in another failure domain.
+	LateBacklog time.Duration  // Backlog of an upstream up to which a late request is sent there.
+	MaxRetry    time.Duration  // Longest time after which a refused caller is asked to return.
+}
+
+// Defaults sets what was left out.
+func (c *Config) Defaults() {
+	cleat.SetDefault(&c.UseWindow, DefaultUseWindow)
+	cleat.SetDefault(&c.Margin, DefaultMargin)
+	cleat.SetDefault(&c.AwayPenalty, DefaultAwayPenalty)
+	cleat.SetDefault(&c.LateBacklog, DefaultLateBacklog)
+	cleat.SetDefault(&c.MaxRetry, DefaultMaxRetry)
+}
+
+// peer is another entry's newest report.
+type peer struct {
+	seq   uint64
+	heard time.Time
+	loads []cleat.UpstreamLoad
+	uses  []cleat.WorkspaceUse
+}
+
+// Planner places the requests of one entry.
+type Planner struct {
+	cfg       Config
+	upstreams map[cleat.UpstreamID]*upstream
+	services  map[cleat.ServiceName][]*upstream // Sorted by name.
+	engines   map[cleat.ServiceName]*cleat.ModelEngine
+	jobs      map[uint64]*Job // Sent and not ended.
+	waiting   []*Job          // In order of arrival.
+	uses      uses
+	peers     map[cleat.InstanceID]*peer
+	parts     []cleat.CachedPart // Sent since the last report.
+	seq       uint64
+}
+
+// New returns a planner that knows no upstream.
+func New(cfg Config) *Planner {
+	cfg.Defaults()
+	return &Planner{
+		cfg:       cfg,
+		upstreams: make(map[cleat.UpstreamID]*upstream),
+		services:  make(map[cleat.ServiceName][]*upstream),
+		engines:   make(map[cleat.ServiceName]*cleat.ModelEngine),
+		jobs:      make(map[uint64]*Job),
+		uses:      newUses(cfg.UseWindow),
+		peers:     make(map[cleat.InstanceID]*peer),
+	}
+}
+
+// SetServices takes the services of a manifest.
+func (p *Planner) SetServices(list []cleat.Service) {
+	clear(p.engines)
+	for i := range list {
+		p.engines[list[i].Name] = list[i].Engine
+	}
+	for _, u := range p.upstreams {
+		u.setEngine(p.engines[u.record.Service])
+	}
+}
+
+// SetUpstreams replaces the upstreams that may be used. A new life of one
+// begins without load, cache and history.
+func (p *Planner) SetUpstreams(list []cleat.UpstreamRecord) {
+	known := make(map[cleat.UpstreamID]*upstream, len(list))
+	clear(p.services)
+	for _, r := range list {
+		u, ok := p.upstreams[r.Upstream]
+		if !ok || u.record.Born != r.Born || u.record.Address != r.Address {
+			u = newUpstream(r)
+		}
+		u.record = r
+		u.setEngine(p.engines[r.Service])
+		known[r.Upstream] = u
+		p.services[r.Service] = append(p.services[r.Service], u)
+	}
+	p.upstreams = known
+	for _, list := range p.services {
+		slices.SortFunc(list, func(a, b *upstream) int {
+			return strings.Compare(string(a.record.Upstream), string(b.record.Upstream))
+		})
+	}
+	p.sumPeers()
+}
+
+// Waiting returns how many jobs wait.
+func (p *Planner) Waiting() int { return len(p.waiting) }
+
+// Running returns how many jobs are sent and not ended.
+func (p *Planner) Running() int { return len(p.jobs) }
+
+// Submit takes a new job, or one that is to be sent once more; it returns its
+// verdict, or false when the job waits.
+func (p *Planner) Submit(now time.Time, j *Job) (Verdict, bool) {
+	if len(j.Avoid) == 0 {
+		p.uses.ask(now, j.Workspace, j.costUnits())
+	}
+	if !p.mayWaitFor(j) {
+		return Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetry / 4}, true
+	}
+	if len(p.waiting) == 0 || !p.blockedBy(j) {
+		if u := p.choose(now, j); u != nil {
+			return p.send(now, j, u), true
+		}
+	}
+	if v, refused := p.judge(now, j, p.aheadOf(now, j)); refused {
+		return v, true
+	}
+	p.waiting = append(p.waiting, j)
+	return Verdict{}, false
+}
+
+// blockedBy reports whether jobs of the same service wait already.
+func (p *Planner) blockedBy(j *Job) bool {
+	return slices.ContainsFunc(p.waiting, func(w *Job) bool { return w.Service == j.Service })
+}
+
+// mayWaitFor reports whether an upstream that was not tried exists.
+func (p *Planner) mayWaitFor(j *Job) bool {
+	return slices.ContainsFunc(p.services[j.Service], func(u *upstream) bool { return usable(u, j) })
+}
+
+func usable(u *upstream, j *Job) bool {
+	return u.record.Phase == cleat.UpstreamReady && !slices.Contains(j.Avoid, u.record.Upstream)
+}
+
+// Dispatch returns verdicts on jobs that waited.
+func (p *Planner) Dispatch(now time.Time) []Verdict {
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	var verdicts []Verdict
+	var left []*Job
+	ahead := make(map[cleat.ServiceName]int)
+	for _, j := range p.inOrder(now) {
+		if !p.mayWaitFor(j) {
+			verdicts = append(verdicts, Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetry / 4})
+			continue
+		}
+		if u := p.choose(now, j); u != nil {
+			verdicts = append(verdicts, p.send(now, j, u))
+			continue
+		}
+		if v, refused := p.judge(now, j, ahead[j.Service]); refused {
+			verdicts = append(verdicts, v)
+			continue
+		}
+		ahead[j.Service] += max(1, j.Prompt)
+		left = append(left, j)
+	}
+	p.waiting = left
+	return verdicts
+}
+
+// inOrder returns the waiting jobs in the order in which they are tried: those
+// that can still be on time first, then by the workspace that was sent the least
+// lately, then by rank and objective.
+func (p *Planner) inOrder(now time.Time) []*Job {
+	list := slices.Clone(p.waiting)
+	sent := make(map[cleat.WorkspaceID]int)
+	for _, j := range list {
+		if _, ok := sent[j.Workspace]; !ok {
+			sent[j.Workspace] = p.uses.admitted(now, j.Workspace)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *Job) int {
+		if late := compareBool(p.late(now, a), p.late(now, b)); late != 0 {
+			return late
+		}
+		if d := sent[a.Workspace] - sent[b.Workspace]; d != 0 {
+			return d
+		}
+		if a.Rank != b.Rank {
+			return a.Rank - b.Rank
+		}
+		return a.Target.Compare(b.Target)
+	})
+	return list
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// late reports whether a job can no longer be on time at an idle upstream.
+func (p *Planner) late(now time.Time, j *Job) bool {
+	return now.Add(p.idleWait(j) + p.cfg.Margin).After(j.Target)
+}
+
+// idleWait is the time to read a job's prompt at the fastest upstream of the service.
+func (p *Planner) idleWait(j *Job) time.Duration {
+	best := time.Duration(-1)
+	for _, u := range p.services[j.Service] {
+		if u.engine == nil {
+			return 0
+		}
+		w := time.Duration(float64(j.Prompt-u.cached(j.Parts))/u.speed) * time.Millisecond
+		if best < 0 || w < best {
+			best = w
+		}
+	}
+	return max(0, best)
+}
+
+func (p *Planner) send(now time.Time, j *Job, u *upstream) Verdict {
+	for _, part := range j.Parts {
+		if u.cache != nil && !u.cache.has(part.Digest) {
+			p.parts = append(p.parts, cleat.CachedPart{Upstream: u.record.Upstream, Part: part.Digest, Tokens: uint32(part.Tokens)})
+		}
+	}
+	u.add(now, j)
+	p.jobs[j.ID] = j
+	p.uses.admit(now, j.Workspace, j.costUnits())
+	return Verdict{Job: j, Upstream: u.record}
+}
+
+// Tick drops what other entries said when they fell silent.
+func (p *Planner) Tick(now time.Time) {
+	if p.expire(now) {
+		p.sumPeers()
+	}
+}
+
+// Cancel forgets a job that waits, because its caller left.
+func (p *Planner) Cancel(j *Job) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *Job) bool { return w == j })
+}
+
+// Begin notes the first event or the answer of a sent job.
+func (p *Planner) Begin(now time.Time, j *Job) {
+	if u := j.upstream; u != nil {
+		u.begin(now, j)
+		u.reached()
+	}
+}
+
+// Outcome tells how an attempt ended, as far as the upstream is concerned.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	OutcomeServed      Outcome = iota
+	OutcomeFailed              // The upstream answered with a failure of its own, or broke off.
+	OutcomeFull                // The upstream did not run it for lack of room.
+	OutcomeUnreachable         // No connection, or the connection was lost.
+	OutcomeLeft                // The caller left or its time was up.
+)
+
+// End notes that a sent job ended.
+func (p *Planner) End(now time.Time, j *Job, o Outcome) {
+	u := j.upstream
+	if u == nil {
+		return
+	}
+	u.remove(j)
+	delete(p.jobs, j.ID)
+	switch o {
+	case OutcomeServed:
+		u.noteOutcome(false)
+		u.reached()
+	case OutcomeFailed:
+		u.noteOutcome(true)
+	case OutcomeFull:
+		u.avoidUntil = now.Add(firstBackoff)
+	case OutcomeUnreachable:
+		u.unreachable(now)
+	}
+}
--- /dev/null
+++ b/policy/place/upstream.go
@@ -0,0 +1,155 @@
+package place
+
+import (
+	"time"
+
+	"marigoldcleat.example/cleat"
+)
+
+const (
+	// initialSpeed is the reading speed assumed before any is seen, in tokens/ms;
+	// low enough that a first burst doesn't build a backlog.
+	initialSpeed = 30.0
+	// minSpeed and maxSpeed bound the learnt speed, in tokens/ms.
+	minSpeed, maxSpeed = 2.0, 1000.0
+	// speedSmoothing is the weight of one observation of the speed.
+	speedSmoothing = 0.1
+	// minSpeedTokens is the least number of tokens from which a speed is learnt: below it
+	// the fixed part of the time to the first event dominates.
+	minSpeedTokens = 2000
+	// failureSmoothing is the weight of one request's outcome in the failure rate.
+	failureSmoothing = 0.15
+	// failurePenalty is added to the expected wait at a failure rate of one.
+	failurePenalty = 2 * time.Second
+	// firstBackoff and maxBackoff bound how long an upstream that can't be reached is avoided.
+	firstBackoff, maxBackoff = 200 * time.Millisecond, 3 * time.Second
+	// cacheShare is the part of an engine's memory assumed to keep shared parts of prompts.
+	cacheShare = 0.5
+	// memoryShare is the part of an engine's memory that running requests may take; the
+	// rest is left to shared parts, since an engine out of memory starts its newest request anew.
+	memoryShare = 0.8
+	// peerMaxAge is the age at which another entry's report counts no more.
+	peerMaxAge = 2 * time.Second
+)
+
+// upstream is what the planner knows of one upstream.
+type upstream struct {
+	record cleat.UpstreamRecord
+	engine *cleat.ModelEngine // Nil at a plain service.
+	cache  *partCache
+	jobs   map[uint64]*Job // Of this entry.
+
+	unread  int // Prompt tokens of own jobs without a first event.
+	memory  int // Tokens of own jobs.
+	peers   cleat.UpstreamLoad
+	speed   float64 // Tokens/ms.
+	failing float64 // Failure rate, 0 to 1.
+
+	strikes    int // Failures to reach it in a row.
+	avoidUntil time.Time
+}
+
+func newUpstream(r cleat.UpstreamRecord) *upstream {
+	return &upstream{record: r, jobs: make(map[uint64]*Job), speed: initialSpeed}
+}
+
+// setEngine takes what the service's manifest says of its engines.
+func (u *upstream) setEngine(e *cleat.ModelEngine) {
+	u.engine = e
+	if e == nil {
+		u.cache = nil
+		return
+	}
+	limit := int(cacheShare * float64(e.MemoryTokens))
+	if u.cache == nil {
+		u.cache = newPartCache(limit)
+	}
+	u.cache.limit = limit
+}
+
+func (u *upstream) running() int { return len(u.jobs) + int(u.peers.Running) }
+
+func (u *upstream) backlog() int { return u.unread + int(u.peers.Prefill) }
+
+// cached returns how many tokens of a prompt the upstream is believed to keep.
+func (u *upstream) cached(parts []cleat.PromptPart) int {
+	n := 0
+	for _, p := range parts {
+		if u.cache == nil || !u.cache.has(p.Digest) {
+			break
+		}
+		n += p.Tokens
+	}
+	return n
+}
+
+// wait returns the expected time until the first event of a prompt with so many unread tokens.
+func (u *upstream) wait(unread int) time.Duration {
+	return time.Duration(float64(u.backlog()+unread)/u.speed) * time.Millisecond
+}
+
+// add notes that a job is sent.
+func (u *upstream) add(now time.Time, j *Job) {
+	j.upstream = u
+	j.sent, j.last, j.begun = now, now, false
+	j.unread = max(0, j.Prompt-u.cached(j.Parts))
+	j.memory = j.unread + j.Output
+	j.ahead = u.backlog()
+	u.jobs[j.ID] = j
+	u.unread += j.unread
+	u.memory += j.memory
+	if u.cache != nil {
+		for _, p := range j.Parts {
+			u.cache.use(p.Digest, p.Tokens)
+		}
+	}
+}
+
+// begin notes a job's first event, from which the reading speed is learnt.
+func (u *upstream) begin(now time.Time, j *Job) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	u.unread -= j.unread
+	read := j.ahead + j.unread
+	if ms := float64(now.Sub(j.sent)) / float64(time.Millisecond); j.unread > 0 && read >= minSpeedTokens && ms > 0 {
+		seen := min(max(float64(read)/ms, minSpeed), maxSpeed)
+		u.speed += speedSmoothing * (seen - u.speed)
+	}
+}
+
+// remove notes that a job ended.
+func (u *upstream) remove(j *Job) {
+	if _, ok := u.jobs[j.ID]; !ok {
+		return
+	}
+	delete(u.jobs, j.ID)
+	if !j.begun {
+		u.unread -= j.unread
+	}
+	u.memory -= j.memory
+	j.upstream = nil
+}
+
+// noteOutcome moves the failure rate.
+func (u *upstream) noteOutcome(failed bool) {
+	seen := 0.0
+	if failed {
+		seen = 1
+	}
+	u.failing += failureSmoothing * (seen - u.failing)
+}
+
+// unreachable avoids the upstream for a while that doubles with each failure in a row.
+func (u *upstream) unreachable(now time.Time) {
+	pause := firstBackoff << min(u.strikes, 8)
+	u.strikes++
+	u.avoidUntil = now.Add(min(pause, maxBackoff))
+	u.noteOutcome(true)
+}
+
+func (u *upstream) reached() {
+	u.strikes = 0
+	u.avoidUntil = time.Time{}
+}
--- a/role/ctrl/address.go
+++ b/role/ctrl/address.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -44,6 +45,9 @@
 		}
 		return l, l.Addr().String(), nil
 	})
+	if err == nil && r.cfg.Extra != nil {
+		r.extra, err = net.Listen("tcp", r.cfg.ExtraHTTP)
+	}
 	if err != nil {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -87,7 +91,10 @@
 // dialLoop keeps links to the other control instances, also to those that the
 // control file names later.
 func (r *Role) dialLoop(ctx context.Context) error {
-	for _, addr := range r.cfg.Controls {
+	r.mu.Lock()
+	addrs := slices.Clone(r.cfg.Controls)
+	r.mu.Unlock()
+	for _, addr := range addrs {
 		r.dial(addr)
 	}
 	known := make(map[string]bool)
@@ -107,6 +114,17 @@
 	}
 }
 
+// SetControls replaces the link addresses of other control instances; members
+// of the log stay linked.
+func (r *Role) SetControls(addrs []string) {
+	r.mu.Lock()
+	r.cfg.Controls = slices.Clone(addrs)
+	r.mu.Unlock()
+	for _, addr := range addrs {
+		r.dial(addr)
+	}
+}
+
 // dialFile follows the control file; while it can't be read, links stay.
 func (r *Role) dialFile(known map[string]bool) {
 	if r.cfg.ControlFile == "" {
--- a/role/ctrl/config.go
+++ b/role/ctrl/config.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -13,18 +14,21 @@
 
 // Defaults of Config.
 const (
-	DefaultPushInterval     = 50 * time.Millisecond
-	DefaultMemberInterval   = 200 * time.Millisecond
-	DefaultSumsInterval     = 500 * time.Millisecond
-	DefaultConfirmInterval  = time.Second
-	DefaultOrderInterval    = 5 * time.Second
-	DefaultClaimTimeout     = 2 * time.Second
-	DefaultChangeTimeout    = 5 * time.Second
-	DefaultHolderLostAfter  = 30 * time.Second
-	DefaultClaimTick        = time.Minute
-	DefaultControlFileCheck = time.Second
-	MaxClaimsInFlight       = 4096
-	MaxBodyBytes            = 4 << 20 // Of one call to the operators' API.
+	DefaultPushInterval      = 50 * time.Millisecond
+	DefaultMemberInterval    = 200 * time.Millisecond
+	DefaultSumsInterval      = 500 * time.Millisecond
+	DefaultConfirmInterval   = time.Second
+	DefaultOrderInterval     = 5 * time.Second
+	DefaultClaimTimeout      = 2 * time.Second
+	DefaultChangeTimeout     = 5 * time.Second
+	DefaultHolderLostAfter   = 30 * time.Second
+	DefaultClaimTick         = time.Minute
+	DefaultControlFileCheck  = time.Second
+	DefaultAutopilotInterval = 200 * time.Millisecond
+	DefaultSilentAfter       = 2 * time.Second // Above an election with a retry.
+	DefaultAckConfirmed      = 1500 * time.Millisecond
+	MaxClaimsInFlight        = 4096
+	MaxBodyBytes             = 4 << 20 // Of one call to the operators' API.
 )
 
 // Config sets up one control instance.
@@ -44,6 +48,15 @@
 	Member      member.Config
 	Order       order.Config
 
+	Decoder   cleat.RouteTableDecoder    // Of manifests; nil when the instance takes none.
+	ExtraHTTP string                     // Address of a further API, as host:port; used with Extra.
+	Extra     func(r *Role) http.Handler // Makes the further API; nil for none.
+	Autopilot bool                       // Lost members of the log are replaced by new instances without an operator.
+
+	AutopilotInterval time.Duration // Between decisions on members of the log.
+	SilentAfter       time.Duration // Silence after which a member of the log counts as lost.
+	AckConfirmed      time.Duration // Age of the last confirmation by a quorum up to which announcements are taken.
+
 	PushInterval    time.Duration // Between checks for settings to send to nodes.
 	MemberInterval  time.Duration // Between batches of membership changes.
 	SumsInterval    time.Duration // Between sums of the ledger to an agent.
@@ -69,6 +82,9 @@
 	cleat.SetDefault(&c.ChangeTimeout, DefaultChangeTimeout)
 	cleat.SetDefault(&c.HolderLostAfter, DefaultHolderLostAfter)
 	cleat.SetDefault(&c.ClaimTick, DefaultClaimTick)
+	cleat.SetDefault(&c.AutopilotInterval, DefaultAutopilotInterval)
+	cleat.SetDefault(&c.SilentAfter, DefaultSilentAfter)
+	cleat.SetDefault(&c.AckConfirmed, DefaultAckConfirmed)
 	if len(c.First) == 0 && len(c.Join) == 0 && len(c.Controls) == 0 && c.ControlFile == "" {
 		c.First = []cleat.InstanceID{c.ID}
 	}
@@ -82,6 +98,9 @@
 	if c.DataFolder == "" {
 		return trace.BadParameter("Config.Validate: the instance needs a data folder")
 	}
+	cleat.SetDefault(&c.AutopilotInterval, DefaultAutopilotInterval)
+	cleat.SetDefault(&c.SilentAfter, DefaultSilentAfter)
+	cleat.SetDefault(&c.AckConfirmed, DefaultAckConfirmed)
 	if len(c.First) == 0 && len(c.Join) == 0 {
 		return trace.BadParameter("Config.Validate: name the first instances of a new log or the instances to join")
 	}
--- a/role/ctrl/links.go
+++ b/role/ctrl/links.go
@@ -26,6 +26,7 @@
 	for _, m := range r.relay.Whole() {
 		r.post(l, m)
 	}
+	r.postRoster(l)
 }
 
 // LinkDown forgets what was sent on the link.
@@ -70,6 +71,8 @@
 		r.takeRegister(l, m)
 	case *cleat.SettingsRead:
 		r.takeRead(l, m)
+	case *cleat.ManifestRead:
+		r.takeManifestRead(l, m)
 	case *cleat.LedgerReport:
 		r.takeReport(m, true)
 	case *cleat.Claim:
@@ -94,6 +97,8 @@
 		r.mu.Unlock()
 	case *cleat.LedgerReport:
 		r.takeReport(m, false)
+	case *cleat.UpstreamUpdate:
+		r.takeUpstreams(m)
 	case *cleat.StatusRead:
 		r.answerStatus(l, m)
 	case *cleat.StatusReport:
@@ -154,7 +159,8 @@
 	if !ok || n.link != l || n.registered {
 		return
 	}
-	n.registered, n.sent = true, m.Revision
+	n.registered, n.sent, n.manifest = true, m.Revision, m.Manifest
+	r.postRoster(l)
 	r.log.Info("node registered", "node", m.Peer.Instance, "role", m.Peer.Role, "domain", m.Peer.Domain, "revision", m.Revision)
 }
 
--- a/role/ctrl/machine.go
+++ b/role/ctrl/machine.go
@@ -19,12 +19,16 @@
 	Token  *config.TokenCommand  `msgpack:"t,omitempty"`
 	Claim  *claim.Command        `msgpack:"l,omitempty"`
 	Image  []byte                `msgpack:"i,omitempty"` // The state of a lost log, for an empty one.
+
+	Manifest *cleat.Manifest `msgpack:"m,omitempty"`
 }
 
 // image is the whole machine in the form a snapshot of the log keeps.
 type image struct {
 	Settings []byte `msgpack:"s"`
 	Claims   []byte `msgpack:"c"`
+
+	Manifest cleat.Manifest `msgpack:"m"`
 }
 
 // Machine is the state machine under the replicated log: settings and claims.
@@ -34,8 +38,9 @@
 	mu       sync.RWMutex
 	settings *config.State
 	claims   *claim.Table
-	moved    time.Time     // When the claims' time last moved, by this process's clock.
-	changed  chan struct{} // Closed at the next change of the settings.
+	manifest cleat.Manifest // The newest; version 0 when there is none.
+	moved    time.Time      // When the claims' time last moved, by this process's clock.
+	changed  chan struct{}  // Closed at the next change of the settings.
 }
 
 var _ cleat.StateMachine = (*Machine)(nil)
@@ -69,6 +74,8 @@
 		r := m.claims.Apply(*c.Claim)
 		m.noteTime(before)
 		return encode(&r)
+	case c.Manifest != nil:
+		return encode(m.replaceManifest(*c.Manifest))
 	case c.Image != nil:
 		return m.settled(m.seed(c.Image))
 	}
@@ -87,9 +94,26 @@
 	return cleat.ChangeResult{Accepted: true, Revision: m.settings.Revision()}
 }
 
+// replaceManifest puts a manifest in force when its version is the highest.
+func (m *Machine) replaceManifest(next cleat.Manifest) *cleat.ManifestResult {
+	accepted := next.Version > m.manifest.Version
+	if accepted {
+		m.manifest = next
+		m.wake()
+	}
+	return &cleat.ManifestResult{Accepted: accepted, Version: m.manifest.Version}
+}
+
+// Manifest returns the newest manifest; version 0 means that there is none.
+func (m *Machine) Manifest() cleat.Manifest {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.manifest
+}
+
 func (m *Machine) empty() bool {
 	tokens := m.settings.Tokens(config.Token{Subtree: config.FleetSubtree})
-	return m.settings.Revision() == 0 && len(tokens) == 0 && m.claims.Len() == 0
+	return m.settings.Revision() == 0 && len(tokens) == 0 && m.claims.Len() == 0 && m.manifest.Version == 0
 }
 
 // settled wakes who waits for a change and encodes the answer to it.
@@ -131,7 +155,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "Machine.Snapshot")
 	}
-	b, err := msgpack.Marshal(&image{Settings: settings, Claims: claims})
+	b, err := msgpack.Marshal(&image{Settings: settings, Claims: claims, Manifest: m.manifest})
 	return b, trace.Wrap(err, "Machine.Snapshot")
 }
 
@@ -162,8 +186,12 @@
 		assert.Fail("config.revision", "a state at revision %d would replace revision %d", settings.Revision(), m.settings.Revision())
 		return trace.BadParameter("revision %d is older than %d", settings.Revision(), m.settings.Revision())
 	}
+	if im.Manifest.Version < m.manifest.Version {
+		assert.Fail("manifest.version", "a state with manifest %d would replace %d", im.Manifest.Version, m.manifest.Version)
+		return trace.BadParameter("manifest %d is older than %d", im.Manifest.Version, m.manifest.Version)
+	}
 	before := m.claims.Elapsed()
-	m.settings, m.claims = settings, claims
+	m.settings, m.claims, m.manifest = settings, claims, im.Manifest
 	m.noteTime(before)
 	return nil
 }
--- a/role/ctrl/push.go
+++ b/role/ctrl/push.go
@@ -30,6 +30,7 @@
 func (r *Role) push(confirmed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.pushManifest(confirmed)
 	revision := r.machine.Revision()
 	deltas := make(map[cleat.Revision][]*cleat.Settings)
 	for _, n := range r.nodes {
@@ -104,6 +105,7 @@
 			r.log.Debug("no quorum", "err", err)
 			continue
 		}
+		r.noteConfirmed()
 		r.push(true)
 	}
 	return nil
@@ -122,6 +124,7 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	r.members.Tick(now)
+	r.roster.Tick(now)
 	for _, n := range r.nodes {
 		if !n.registered {
 			continue
--- a/role/ctrl/role.go
+++ b/role/ctrl/role.go
@@ -22,6 +22,7 @@
 	"marigoldcleat.example/cleat/policy/ledger"
 	"marigoldcleat.example/cleat/policy/member"
 	"marigoldcleat.example/cleat/policy/order"
+	"marigoldcleat.example/cleat/policy/roster"
 	"marigoldcleat.example/cleat/role/telem"
 	"marigoldcleat.example/cleat/state/quorum"
 	"marigoldcleat.example/cleat/state/store"
@@ -40,6 +41,7 @@
 	server   *wire.Server
 	dialer   *wire.Dialer
 	http     net.Listener
+	extra    net.Listener // Nil without a further API.
 	echo     *echo.Echo
 	health   *telem.Health
 	metrics  *telem.Metrics
@@ -57,12 +59,18 @@
 	peers   map[cleat.InstanceID]*peerLinks
 	calls   map[uint64]chan cleat.Message // Calls to other control instances.
 	call    uint64
+
+	roster    *roster.Table
+	bodies    []manifestBody // Of the newest manifests, oldest first.
+	confirmed time.Time      // When a quorum last answered.
+	dialed    map[string]bool
 }
 
 // nodeLink is the newest link of a node.
 type nodeLink struct {
 	link       cleat.Link
 	registered bool
+	manifest   uint64         // Version sent on this link so far.
 	sent       cleat.Revision // Settings sent on this link so far.
 	receiver   member.Receiver
 }
@@ -101,6 +109,8 @@
 		nodes:   make(map[cleat.InstanceID]*nodeLink),
 		peers:   make(map[cleat.InstanceID]*peerLinks),
 		calls:   make(map[uint64]chan cleat.Message),
+		roster:  roster.New(),
+		dialed:  make(map[string]bool),
 	}
 	r.measures = newMeasures(r.metrics.Scope())
 	if err := r.open(); err != nil {
@@ -180,6 +190,7 @@
 	r.add(&g, r.dialLoop)
 	r.add(&g, r.firstLoop)
 	r.add(&g, r.gaugeLoop)
+	r.add(&g, r.autopilotLoop)
 	r.addServers(&g)
 	return trace.Wrap(g.Run(), "Role.Run")
 }
@@ -198,9 +209,17 @@
 		}
 		r.dialer.Close()
 	})
-	srv := &http.Server{Handler: r.echo, ReadHeaderTimeout: shutdownTimeout}
+	r.addHTTP(g, r.http, r.echo)
+	if r.cfg.Extra != nil {
+		r.addHTTP(g, r.extra, r.cfg.Extra(r))
+	}
+}
+
+// addHTTP serves a handler until the role ends.
+func (r *Role) addHTTP(g *run.Group, l net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: shutdownTimeout}
 	g.Add(func() error {
-		if err := srv.Serve(r.http); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/role/node/client.go
+++ b/role/node/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,7 @@
 	view    *config.View
 	members *member.View
 	from    cleat.Link // Which link view's pieces came from.
+	kept    manifest
 
 	mu        sync.Mutex
 	links     map[cleat.InstanceID]*control
@@ -50,6 +52,9 @@
 	members func([]cleat.Member)
 	sums    func(*cleat.LedgerSums)
 	order   func(cleat.Order) cleat.OrderResult
+
+	manifest  func(version uint64, body []byte)
+	upstreams func([]cleat.UpstreamRecord)
 }
 
 var (
@@ -93,11 +98,31 @@
 	return f, f != nil
 }
 
-// Run keeps links to all control instances until ctx is done.
-func (c *Client) Run(ctx context.Context) error {
+// OnManifest sets what is called with each newer manifest, the first time with
+// one that a quorum confirmed.
+func (c *Client) OnManifest(f func(version uint64, body []byte)) { c.hooks.manifest = f }
+
+// OnUpstreams sets what is called with announcements of upstreams.
+func (c *Client) OnUpstreams(f func([]cleat.UpstreamRecord)) { c.hooks.upstreams = f }
+
+// SetControls replaces the link addresses of the control instances, as host:port.
+func (c *Client) SetControls(addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, addr := range c.cfg.Controls {
+		if !slices.Contains(addrs, addr) {
+			c.dialer.Drop(addr)
+		}
+	}
+	c.cfg.Controls = slices.Clone(addrs)
+	for _, addr := range addrs {
 		c.dialer.Keep(addr)
 	}
+}
+
+// Run keeps links to all control instances until ctx is done.
+func (c *Client) Run(ctx context.Context) error {
+	c.SetControls(c.cfg.Controls)
 	defer c.dialer.Close()
 	heartbeat := time.NewTicker(c.cfg.Heartbeat)
 	defer heartbeat.Stop()
@@ -157,6 +182,7 @@
 	if f := c.fleet.Load(); f != nil {
 		m.Revision = f.Revision()
 	}
+	m.Manifest = c.manifestVersion()
 	return m
 }
 
--- a/role/node/links.go
+++ b/role/node/links.go
@@ -29,6 +29,7 @@
 func (c *Client) begin(l cleat.Link) {
 	c.register(l, true)
 	c.read(l)
+	c.readManifest(l)
 }
 
 // read asks for the settings after those known; the first ones must be confirmed.
@@ -66,6 +67,10 @@
 	switch m := m.(type) {
 	case *cleat.Settings:
 		c.takeSettings(l, m)
+	case *cleat.ManifestUpdate:
+		c.takeManifest(l, m)
+	case *cleat.UpstreamUpdate:
+		c.takeUpstreams(m)
 	case *cleat.Members:
 		c.takeMembers(m)
 	case *cleat.LedgerSums:
--- /dev/null
+++ b/role/proxy/mesh.go
@@ -0,0 +1,126 @@
+package proxy
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"marigoldcleat.example/cleat"
+)
+
+// entryLink is another entry, with its link if there is one.
+type entryLink struct {
+	address string
+	link    cleat.Link
+}
+
+// meshHandler takes what other entries send.
+type meshHandler Role
+
+// LinkUp keeps the link for reports.
+func (h *meshHandler) LinkUp(l cleat.Link) {
+	r := (*Role)(h)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[l.Peer().Instance]
+	if !ok {
+		e = &entryLink{}
+		r.entries[l.Peer().Instance] = e
+	}
+	e.link = l
+	r.log.Info("link to an entry up", "entry", l.Peer().Instance)
+}
+
+// LinkDown forgets the link.
+func (h *meshHandler) LinkDown(l cleat.Link, err error) {
+	r := (*Role)(h)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e, ok := r.entries[l.Peer().Instance]; ok && e.link == l {
+		e.link = nil
+	}
+	r.log.Info("link to an entry lost", "entry", l.Peer().Instance, "err", err)
+}
+
+// LinkMessage takes another entry's report.
+func (h *meshHandler) LinkMessage(l cleat.Link, m cleat.Message) {
+	r := (*Role)(h)
+	report, ok := m.(*cleat.PlacementReport)
+	if !ok {
+		r.log.Debug("unexpected message", "kind", m.Kind(), "from", l.Peer().Instance)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.planner.TakeReport(r.clock.Now(), l.Peer().Instance, report)
+}
+
+// takeMembers links the other entries; of two the one whose name sorts first dials.
+func (r *Role) takeMembers(list []cleat.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	present := make(map[cleat.InstanceID]bool)
+	for _, m := range list {
+		if m.Peer.Role != cleat.RoleEntry || m.Peer.Instance == r.cfg.Self {
+			continue
+		}
+		present[m.Peer.Instance] = true
+		e, ok := r.entries[m.Peer.Instance]
+		if !ok {
+			e = &entryLink{}
+			r.entries[m.Peer.Instance] = e
+		}
+		if e.address == m.Peer.Address || r.cfg.Self > m.Peer.Instance {
+			continue
+		}
+		if e.address != "" {
+			r.mesh.Drop(e.address)
+		}
+		e.address = m.Peer.Address
+		r.mesh.Keep(e.address)
+	}
+	r.dropAbsent(present)
+	r.budget.SetEntries(1 + len(r.entries))
+}
+
+// dropAbsent forgets entries that are members no more and have no link.
+func (r *Role) dropAbsent(present map[cleat.InstanceID]bool) {
+	for id, e := range r.entries {
+		if present[id] || e.link != nil {
+			continue
+		}
+		if e.address != "" {
+			r.mesh.Drop(e.address)
+		}
+		delete(r.entries, id)
+	}
+}
+
+// reportPeers is how many entries hear each report without slowing the reports
+// down: with more the interval grows, so that their traffic stays bounded.
+const reportPeers = 8
+
+// reportLoop tells other entries what this one sent where.
+func (r *Role) reportLoop(ctx context.Context) error {
+	for {
+		r.mu.Lock()
+		m := r.planner.Report(r.clock.Now())
+		links := make([]cleat.Link, 0, len(r.entries))
+		for _, id := range slices.Sorted(maps.Keys(r.entries)) {
+			if l := r.entries[id].link; l != nil {
+				links = append(links, l)
+			}
+		}
+		r.mu.Unlock()
+		for _, l := range links {
+			if err := l.Send(m); err != nil {
+				r.log.Debug("report not sent", "entry", l.Peer().Instance, "err", err)
+			}
+		}
+		slower := time.Duration(max(1, len(links)/reportPeers))
+		if !sleep(ctx, slower*r.cfg.ReportInterval) {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/role/proxy/wait.go
@@ -0,0 +1,109 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"marigoldcleat.example/cleat/policy/place"
+)
+
+const (
+	dispatchPause = 3 * time.Millisecond  // Between looks at the waiting jobs, at least.
+	dispatchTick  = 25 * time.Millisecond // Between looks without a cause.
+)
+
+// kick asks for a look at the waiting jobs.
+func (r *Role) kick() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// dispatchLoop hands out verdicts on jobs that wait.
+func (r *Role) dispatchLoop(ctx context.Context) error {
+	ticker := time.NewTicker(dispatchTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.wake:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		r.mu.Lock()
+		for _, v := range r.planner.Dispatch(r.clock.Now()) {
+			if c, ok := r.waiters[v.Job.ID]; ok {
+				delete(r.waiters, v.Job.ID)
+				c <- v
+			}
+		}
+		r.mu.Unlock()
+		if !sleep(ctx, dispatchPause) {
+			return nil
+		}
+	}
+}
+
+// submit returns the verdict on a job, after waiting if need be; false means
+// that ctx ended first.
+func (r *Role) submit(ctx context.Context, j *place.Job) (place.Verdict, bool) {
+	r.mu.Lock()
+	if j.ID == 0 {
+		r.jobs++
+		j.ID = r.jobs
+	}
+	v, decided := r.planner.Submit(r.clock.Now(), j)
+	var c chan place.Verdict
+	if !decided {
+		c = make(chan place.Verdict, 1)
+		r.waiters[j.ID] = c
+	}
+	r.mu.Unlock()
+	if decided {
+		return v, true
+	}
+	select {
+	case v = <-c:
+		return v, true
+	case <-ctx.Done():
+	}
+	return r.abandon(j, c)
+}
+
+// abandon takes a job out of the queue; a verdict that came meanwhile is undone.
+func (r *Role) abandon(j *place.Job, c chan place.Verdict) (place.Verdict, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiters, j.ID)
+	r.planner.Cancel(j)
+	select {
+	case <-c:
+		r.planner.End(r.clock.Now(), j, place.OutcomeLeft)
+	default:
+	}
+	return place.Verdict{}, false
+}
+
+func (r *Role) begin(j *place.Job) {
+	r.mu.Lock()
+	r.planner.Begin(r.clock.Now(), j)
+	r.mu.Unlock()
+	r.kickIfWaiting()
+}
+
+func (r *Role) end(j *place.Job, o place.Outcome) {
+	r.mu.Lock()
+	r.planner.End(r.clock.Now(), j, o)
+	r.mu.Unlock()
+	r.kickIfWaiting()
+}
+
+func (r *Role) kickIfWaiting() {
+	r.mu.Lock()
+	waiting := r.planner.Waiting()
+	r.mu.Unlock()
+	if waiting > 0 {
+		r.kick()
+	}
+}
--- /dev/null
+++ b/routing.go
@@ -0,0 +1,212 @@
+package cleat
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// ServiceName names a service: a set of upstreams that serve the same requests.
+type ServiceName string
+
+// RouteKind tells how requests of a route may be repeated and answered.
+type RouteKind string
+
+// The kinds of routes.
+const (
+	RouteSafe   RouteKind = "safe"   // Idempotent: may run more than once.
+	RouteUnsafe RouteKind = "unsafe" // Runs at most once.
+	RouteStream RouteKind = "stream" // Answers with events; runs at most once unless Resumable.
+)
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name        string
+	Host        string // Lower case, without a port.
+	Prefix      string // Begins and ends with a slash.
+	Kind        RouteKind
+	Timeout     time.Duration // Longest time until the final answer.
+	Target      time.Duration // Until the answer, or the first event of a stream.
+	MaxGap      time.Duration // Between events of a stream; zero when not stated.
+	Rank        int           // Lower goes first.
+	MaxAttempts int           // Upstreams that one request may be sent to.
+	Public      bool          // Needs no key.
+	Resumable   bool          // Another upstream can go on with a stream after its last event.
+	Affinity    bool          // Requests name the parts of their prompts, which upstreams cache.
+	Split       []SplitWeight
+}
+
+// SplitWeight is a service's part of a route's requests.
+type SplitWeight struct {
+	Service ServiceName
+	Weight  float64
+}
+
+// Idempotent reports whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == RouteSafe || (r.Kind == RouteStream && r.Resumable)
+}
+
+// Allows reports whether the route sends requests to a service.
+func (r *Route) Allows(s ServiceName) bool {
+	for _, w := range r.Split {
+		if w.Service == s && w.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Service is what a manifest says of a service.
+type Service struct {
+	Name       ServiceName
+	HealthPath string
+	MaxConns   int          // Accepted by each upstream from all callers together.
+	Engine     *ModelEngine // Nil for a plain service.
+}
+
+// ModelEngine describes the upstreams of a service that runs a model.
+type ModelEngine struct {
+	Slots         int // Requests batched at once.
+	MemoryTokens  int // Tokens that running requests and cached parts share.
+	EventTokens   int // Tokens in one event of a stream.
+	Subscriptions int // Cache event calls that an upstream keeps waiting.
+}
+
+// WorkspaceKeys names a workspace of a manifest and its keys.
+type WorkspaceKeys struct {
+	Name WorkspaceID
+	Keys []string
+	Rank int // Goes before the route's rank when HasRank is set.
+
+	HasRank bool
+}
+
+// CallerLimits bound what callers may send.
+type CallerLimits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+	TokensPerSec   float64 // What all upstreams of the fleet produce; zero when not stated.
+}
+
+// RouteTable is a decoded manifest, shared read-only once Index was called.
+type RouteTable struct {
+	Version    uint64
+	Routes     []Route
+	Services   []Service
+	Workspaces []WorkspaceKeys
+	Limits     CallerLimits
+
+	byHost   map[string][]*Route // Longest prefix first.
+	byKey    map[string]*WorkspaceKeys
+	services map[ServiceName]*Service
+}
+
+// Validate returns a trace.BadParameter error that names the first fault.
+func (t *RouteTable) Validate() error {
+	services := make(map[ServiceName]bool, len(t.Services))
+	for i := range t.Services {
+		services[t.Services[i].Name] = true
+	}
+	places := make(map[string]string, len(t.Routes))
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := r.validate(services); err != nil {
+			return trace.Wrap(err)
+		}
+		place := r.Host + " " + r.Prefix
+		if other, taken := places[place]; taken {
+			return trace.BadParameter("RouteTable.Validate: routes %q and %q share host and prefix", other, r.Name)
+		}
+		places[place] = r.Name
+	}
+	return t.validateKeys()
+}
+
+func (r *Route) validate(services map[ServiceName]bool) error {
+	if r.Timeout <= 0 {
+		return trace.BadParameter("Route.validate: route %q has no timeout", r.Name)
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return trace.BadParameter("Route.validate: the prefix of route %q must begin and end with a slash", r.Name)
+	}
+	if r.Kind != RouteSafe && r.Kind != RouteUnsafe && r.Kind != RouteStream {
+		return trace.BadParameter("Route.validate: route %q has the unknown kind %q", r.Name, r.Kind)
+	}
+	sum := 0.0
+	for _, w := range r.Split {
+		if !services[w.Service] {
+			return trace.BadParameter("Route.validate: route %q names the unknown service %q", r.Name, w.Service)
+		}
+		if w.Weight < 0 {
+			return trace.BadParameter("Route.validate: route %q has a negative weight", r.Name)
+		}
+		sum += w.Weight
+	}
+	if sum <= 0 {
+		return trace.BadParameter("Route.validate: the weights of route %q add up to nothing", r.Name)
+	}
+	return nil
+}
+
+func (t *RouteTable) validateKeys() error {
+	owners := make(map[string]WorkspaceID)
+	for i := range t.Workspaces {
+		w := &t.Workspaces[i]
+		for _, key := range w.Keys {
+			if other, taken := owners[key]; taken && other != w.Name {
+				return trace.BadParameter("RouteTable.Validate: workspaces %q and %q share a key", other, w.Name)
+			}
+			owners[key] = w.Name
+		}
+	}
+	return nil
+}
+
+// Index prepares the look-ups; call it once, before the table is shared.
+func (t *RouteTable) Index() {
+	t.byHost = make(map[string][]*Route)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, list := range t.byHost {
+		sort.Slice(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	t.byKey = make(map[string]*WorkspaceKeys)
+	for i := range t.Workspaces {
+		for _, key := range t.Workspaces[i].Keys {
+			t.byKey[key] = &t.Workspaces[i]
+		}
+	}
+	t.services = make(map[ServiceName]*Service, len(t.Services))
+	for i := range t.Services {
+		t.services[t.Services[i].Name] = &t.Services[i]
+	}
+}
+
+// Match returns the route of a host, without a port, with the longest prefix that begins path.
+func (t *RouteTable) Match(host, path string) (*Route, bool) {
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// WorkspaceByKey returns the workspace that holds a key.
+func (t *RouteTable) WorkspaceByKey(key string) (*WorkspaceKeys, bool) {
+	w, ok := t.byKey[key]
+	return w, ok
+}
+
+// ServiceByName returns a service.
+func (t *RouteTable) ServiceByName(name ServiceName) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
--- a/state/quorum/join.go
+++ b/state/quorum/join.go
@@ -10,6 +10,8 @@
 const (
 	joinInterval    = 500 * time.Millisecond // Between announcements of a replica that is no member.
 	candidateMaxAge = 3 * time.Second        // Since the last announcement.
+
+	leaderlessElections = 3 // Election timeouts without a leader before a member announces itself again.
 )
 
 // Candidate is a replica that made itself known and is no member.
@@ -20,10 +22,12 @@
 	heard    time.Time
 }
 
-// announce makes this replica known to the others while it is no member.
+// announce makes this replica known to the others while it is no member. One
+// that hears no leader may have been removed without being told.
 func (r *Replica) announce(now time.Time) {
 	members, _ := r.core.log.members()
-	if _, member := findMember(members, r.core.id.Replica); member || now.Before(r.joinDue) {
+	_, member := findMember(members, r.core.id.Replica)
+	if (member && !r.leaderless(now)) || now.Before(r.joinDue) {
 		return
 	}
 	r.joinDue = now.Add(joinInterval)
@@ -33,6 +37,22 @@
 	}
 }
 
+// leaderless reports whether no leader was heard for longer than elections take.
+func (r *Replica) leaderless(now time.Time) bool {
+	return r.core.duty != DutyLeader && now.Sub(r.core.heard) > leaderlessElections*r.cfg.ElectionTimeout
+}
+
+// relayJoin passes a join on to the leader, which the sender may not know.
+func (r *Replica) relayJoin(m *Message) {
+	leader, ok := r.Leader()
+	if !ok || leader == r.cfg.Self || m.Relayed {
+		return
+	}
+	relayed := *m
+	relayed.Relayed = true
+	r.outbox = append(r.outbox, Envelope{To: leader, Message: &relayed})
+}
+
 // others returns the configured instances but for this one.
 func (r *Replica) others() []cleat.InstanceID {
 	all := slices.Concat(r.cfg.First, r.cfg.Peers)
--- a/state/quorum/message.go
+++ b/state/quorum/message.go
@@ -49,6 +49,7 @@
 	Data     []byte           `msgpack:"d,omitempty"`
 	Origin   uint64           `msgpack:"g,omitempty"` // Session of a proposal or read.
 	ID       uint64           `msgpack:"q,omitempty"`
+	Relayed  bool             `msgpack:"y,omitempty"` // A join that a follower passed on to its leader.
 }
 
 // Envelope is a message with the instance it goes to.
--- a/state/quorum/replica.go
+++ b/state/quorum/replica.go
@@ -120,6 +120,7 @@
 	}
 	if m.Kind == MsgJoin {
 		r.noteCandidate(now, m)
+		r.relayJoin(m)
 		return nil
 	}
 	r.noteAddress(m)
