Refuse at once what goes beyond a workspace's max-min share; keep sessions at their engines

Cause: at worst load the engines were sent everything that fitted the latency objective, 600k tokens/s where the fleet is stated to produce 290k; streams then missed their deadlines, sessions were spread and their parts read again. Conclusion: the share goes first, spare time of engines is given out beyond it.

--- a/placement.go
+++ b/placement.go
@@ -6,6 +6,8 @@
 	Prefill  uint32     `msgpack:"p"` // Prompt tokens to read for requests without a first event.
 	Running  uint32     `msgpack:"r"` // Requests.
 	Memory   uint32     `msgpack:"m"` // Tokens that its requests hold or will hold.
+	Read     uint32     `msgpack:"d"` // Prompt tokens sent to be read lately.
+	Pace     uint32     `msgpack:"s"` // Tokens/s that the most urgent of its streams needs to end in time.
 }
 
 // CachedPart says that an upstream has read a part of prompts.
--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -61,7 +61,8 @@
 	if u.engine == nil {
 		return p.plainCost(u) + penalty, u.running() < u.record.Slots+plainQueue
 	}
-	unread := max(0, j.Prompt-u.cached(j.Parts))
+	cached := u.cached(j.Parts)
+	unread := max(0, j.Prompt-cached)
 	if u.running() >= u.engine.Slots {
 		return 0, false
 	}
@@ -70,31 +71,99 @@
 		return 0, false
 	}
 	wait := u.wait(unread)
+	pace, ok := p.paceCost(now, j, u, unread, wait)
+	if !ok {
+		return 0, false
+	}
+	cost := wait + penalty + pace + rereadCost(j, u, cached)
 	if late {
-		return wait + penalty, u.wait(0) <= p.cfg.LateBacklog
+		return cost, u.wait(0) <= p.cfg.LateBacklog
 	}
-	return wait + penalty + spread(j, u), !now.Add(wait + p.cfg.Margin).After(j.Target)
+	return cost, !now.Add(waitSafety*wait/10 + p.cfg.Margin).After(j.Target)
 }
 
-// plainCost spreads requests over the upstreams of a plain service by their load.
-func (p *Planner) plainCost(u *upstream) time.Duration {
-	return time.Duration(u.running()) * 100 * time.Millisecond / time.Duration(max(1, u.record.Slots))
+// waitSafety is the part, in tenths, of an expected wait that is planned with:
+// what other entries send meanwhile is not known yet.
+const waitSafety = 14
+
+const (
+	// sustained is the part of the best pace seen that streams get beside others.
+	sustained = 0.6
+	// maxDuty bounds the part of the time that an engine may read prompts.
+	maxDuty = 0.8
+	// spareDuty is the part up to which requests beyond a workspace's share are taken.
+	spareDuty = 0.35
+	// othersWeight is how many times over the reading of a prompt counts beside the most urgent stream.
+	othersWeight = 2
+	// paceWeight scales how far urgent streams and long prompts keep apart.
+	paceWeight = 1500 * time.Millisecond
+	// laneWeight is how much longer a wait the most urgent stream bears to be with others like it.
+	laneWeight = 600 * time.Millisecond
+	// dutyStep bounds what a single prompt adds to the time spent on reading, in
+	// milliseconds: a prompt longer than the window could go nowhere otherwise.
+	dutyStep = 250
+)
+
+// paceCost keeps long prompts away from engines whose streams must be quick, and
+// such streams away from engines that read much: reading slows all streams of
+// an engine. It reports whether streams there would still end in time.
+func (p *Planner) paceCost(now time.Time, j *Job, u *upstream, unread int, wait time.Duration) (time.Duration, bool) {
+	best := sustained * p.rates[j.Service]
+	if best == 0 {
+		return 0, true
+	}
+	needed := u.needed(now)
+	own := min(1, j.paceLeft(now.Add(wait))/best)
+	others := min(1, needed/best)
+	lane := lane(u)
+	duty := u.duty(now, min(unread, int(u.speed*dutyStep)))
+	if u.running() > 0 && (duty > maxDuty || (u.rate > 0 && u.rate < needed)) {
+		return 0, false
+	}
+	reading := time.Duration(float64(unread)/u.speed) * time.Millisecond
+	urgent := time.Duration(own * (duty*float64(paceWeight) + lane*float64(laneWeight)))
+	return urgent + time.Duration((othersWeight*others+1-lane)*float64(reading)), true
+}
+
+// lane orders upstreams, alike at all entries, from 0 for those that urgent
+// streams fill first to 1 for those that long prompts do.
+func lane(u *upstream) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte("lane " + u.record.Upstream)) // It never fails.
+	return float64(h.Sum64()*0x9E3779B97F4A7C15>>40) / (1 << 24)
 }
 
-// spreadRange bounds by how much the hash of a prompt's shared parts moves its
-// choice among upstreams that keep none of it: entries then choose alike without
-// having heard of each other's choices.
-const spreadRange = 40 * time.Millisecond
+// rereadWeight is how many times over the reading of a shared part counts at an
+// upstream that doesn't keep it: reading it again takes time from all others.
+const rereadWeight = 3
 
-func spread(j *Job, u *upstream) time.Duration {
+// rereadCost draws requests to the upstreams that keep their shared parts. Among
+// those that don't, a hash decides, so that entries choose alike without having
+// heard of each other's choices.
+func rereadCost(j *Job, u *upstream, cached int) time.Duration {
 	if len(j.Parts) < 2 {
 		return 0
 	}
+	shared := j.Prompt - j.Parts[len(j.Parts)-1].Tokens
+	missing := max(0, shared-cached)
+	if missing == 0 {
+		return 0
+	}
+	reading := float64(missing) / u.speed
+	return time.Duration(reading*rereadWeight*(1+preference(j, u))) * time.Millisecond
+}
+
+// preference orders upstreams for a prompt's shared parts, from 0 to 1.
+func preference(j *Job, u *upstream) float64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(u.record.Upstream)) // It never fails.
-	shared := j.Parts[len(j.Parts)-2].Digest
-	x := (h.Sum64() ^ shared) * 0x9E3779B97F4A7C15
-	return time.Duration(x>>40) * spreadRange / (1 << 24)
+	x := (h.Sum64() ^ j.Parts[len(j.Parts)-2].Digest) * 0x9E3779B97F4A7C15
+	return float64(x>>40) / (1 << 24)
+}
+
+// plainCost spreads requests over the upstreams of a plain service by their load.
+func (p *Planner) plainCost(u *upstream) time.Duration {
+	return time.Duration(u.running()) * 100 * time.Millisecond / time.Duration(max(1, u.record.Slots))
 }
 
 // aheadOf returns the prompt tokens that would go before a new job.
@@ -125,7 +194,7 @@
 
 // lateShare divides the time between objective and deadline: a late job waits
 // for this part of it at most.
-const lateShare = 4
+const lateShare = 2
 
 // drainTime is how long it takes to get so many waiting prompt tokens, behind
 // what the upstreams have, read.
--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -25,6 +25,7 @@
 	memory   int // Tokens that it holds there.
 	begun    bool
 	last     time.Time // Its newest event.
+	made     int       // Output tokens of its present attempt.
 	sent     time.Time
 	ahead    int // Unread tokens before it at the upstream when it was sent.
 }
@@ -33,6 +34,8 @@
 type Verdict struct {
 	Job        *Job
 	Upstream   cleat.UpstreamRecord // Where to send it; its Upstream field is empty when refused.
+	Unread     int                  // Prompt tokens that the upstream has to read.
+	Backlog    int                  // Prompt tokens that it has to read before.
 	RetryAfter time.Duration        // When there should be room; set when refused.
 	Reason     Reason               // Set when refused.
 }
@@ -47,8 +50,19 @@
 const (
 	ReasonNoUpstream Reason = "no_upstream" // None of the service is known, or all were tried.
 	ReasonOverload   Reason = "overload"    // It can't be served in time.
+	ReasonShare      Reason = "over_share"  // The workspace was sent its share of the capacity lately.
 )
 
+// paceMargin is added to the pace that a stream needs.
+const paceMargin = 1.15
+
+// paceLeft returns the tokens/s that the job needs from now on to end in time.
+// One that is longer than expected is taken to have a quarter more to come.
+func (j *Job) paceLeft(now time.Time) float64 {
+	left := max(j.Output-j.made, j.made/4)
+	return paceMargin * float64(left) / max(j.Deadline.Sub(now), time.Second).Seconds()
+}
+
 // costUnits is what a job takes of the fleet's capacity: a token read counts
 // once, a token written twice.
 func (j *Job) costUnits() int { return max(1, j.Prompt+2*j.Output) }
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -53,6 +53,7 @@
 	jobs      map[uint64]*Job // Sent and not ended.
 	waiting   []*Job          // In order of arrival.
 	uses      uses
+	rates     map[cleat.ServiceName]float64 // The best pace of streams seen lately, in tokens/s.
 	peers     map[cleat.InstanceID]*peer
 	parts     []cleat.CachedPart // Sent since the last report.
 	seq       uint64
@@ -68,12 +69,15 @@
 		engines:   make(map[cleat.ServiceName]*cleat.ModelEngine),
 		jobs:      make(map[uint64]*Job),
 		uses:      newUses(cfg.UseWindow),
+		rates:     make(map[cleat.ServiceName]float64),
 		peers:     make(map[cleat.InstanceID]*peer),
 	}
 }
 
-// SetServices takes the services of a manifest.
-func (p *Planner) SetServices(list []cleat.Service) {
+// SetServices takes the services of a manifest and the tokens that all engines
+// produce in a second; zero when that is not stated.
+func (p *Planner) SetServices(list []cleat.Service, tokensPerSec float64) {
+	p.uses.capacity = tokensPerSec * p.cfg.UseWindow.Seconds()
 	clear(p.engines)
 	for i := range list {
 		p.engines[list[i].Name] = list[i].Engine
@@ -122,6 +126,9 @@
 	if !p.mayWaitFor(j) {
 		return Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetry / 4}, true
 	}
+	if v, refused := p.limit(now, j); refused {
+		return v, true
+	}
 	if len(p.waiting) == 0 || !p.blockedBy(j) {
 		if u := p.choose(now, j); u != nil {
 			return p.send(now, j, u), true
@@ -134,6 +141,20 @@
 	return Verdict{}, false
 }
 
+// limit judges a job whose workspace was sent its share of the capacity: it goes
+// only where engines have time to spare and nothing waits for them.
+func (p *Planner) limit(now time.Time, j *Job) (Verdict, bool) {
+	if p.engines[j.Service] == nil || !p.uses.exceeds(now, j.Workspace, j.costUnits()) {
+		return Verdict{}, false
+	}
+	if !p.blockedBy(j) {
+		if u := p.choose(now, j); u != nil && u.duty(now, min(j.Prompt-u.cached(j.Parts), int(u.speed*dutyStep))) <= spareDuty {
+			return p.send(now, j, u), true
+		}
+	}
+	return Verdict{Job: j, Reason: ReasonShare, RetryAfter: p.cfg.UseWindow / 4}, true
+}
+
 // blockedBy reports whether jobs of the same service wait already.
 func (p *Planner) blockedBy(j *Job) bool {
 	return slices.ContainsFunc(p.waiting, func(w *Job) bool { return w.Service == j.Service })
@@ -241,7 +262,7 @@
 	u.add(now, j)
 	p.jobs[j.ID] = j
 	p.uses.admit(now, j.Workspace, j.costUnits())
-	return Verdict{Job: j, Upstream: u.record}
+	return Verdict{Job: j, Upstream: u.record, Unread: j.unread, Backlog: j.ahead}
 }
 
 // Tick drops what other entries said when they fell silent.
@@ -264,6 +285,23 @@
 	}
 }
 
+// Event notes further events of a sent job.
+func (p *Planner) Event(now time.Time, j *Job, events int) {
+	u := j.upstream
+	if u == nil || u.engine == nil {
+		return
+	}
+	u.event(now, j, events)
+	if best := p.rates[u.record.Service]; u.rate > best {
+		p.rates[u.record.Service] = u.rate
+	} else {
+		p.rates[u.record.Service] = best + bestRateDecay*(u.rate-best)
+	}
+}
+
+// bestRateDecay is the weight of one event in the decline of the best pace seen.
+const bestRateDecay = 0.0002
+
 // Outcome tells how an attempt ended, as far as the upstream is concerned.
 type Outcome uint8
 
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -12,11 +12,13 @@
 	m := &cleat.PlacementReport{Seq: p.seq, Parts: p.parts, Uses: p.uses.report(now)}
 	p.parts = nil
 	for id, u := range p.upstreams {
-		if len(u.jobs) == 0 {
+		read := u.read.sum(now)
+		if len(u.jobs) == 0 && read == 0 {
 			continue
 		}
 		m.Loads = append(m.Loads, cleat.UpstreamLoad{
 			Upstream: id, Prefill: uint32(max(0, u.unread)), Running: uint32(len(u.jobs)), Memory: uint32(max(0, u.memory)),
+			Read: uint32(read), Pace: uint32(u.ownPace(now)),
 		})
 	}
 	return m
@@ -67,6 +69,8 @@
 				u.peers.Prefill += l.Prefill
 				u.peers.Running += l.Running
 				u.peers.Memory += l.Memory
+				u.peers.Read += l.Read
+				u.peers.Pace = max(u.peers.Pace, l.Pace)
 			}
 		}
 		for _, w := range q.uses {
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -12,8 +13,17 @@
 	initialSpeed = 30.0
 	// minSpeed and maxSpeed bound the learnt speed, in tokens/ms.
 	minSpeed, maxSpeed = 2.0, 1000.0
-	// speedSmoothing is the weight of one observation of the speed.
-	speedSmoothing = 0.1
+	// fasterSmoothing and slowerSmoothing are the weights of one observation of the speed.
+	fasterSmoothing, slowerSmoothing = 0.2, 0.03
+	// rateSmoothing is the weight of one event in the pace of an upstream's streams.
+	rateSmoothing = 0.05
+	// paceInterval is how long the pace that streams need is taken to hold.
+	paceInterval = 50 * time.Millisecond
+	// paceQuantile is the part of the streams whose pace counts: the most urgent
+	// few, of which the hints are often wrong, would keep all prompts away.
+	paceQuantile = 0.8
+	// readWindow is the time over which tokens sent to be read are counted.
+	readWindow = 2 * time.Second
 	// minSpeedTokens is the least number of tokens from which a speed is learnt: below it
 	// the fixed part of the time to the first event dominates.
 	minSpeedTokens = 2000
@@ -43,6 +53,10 @@
 	memory  int // Tokens of own jobs.
 	peers   cleat.UpstreamLoad
 	speed   float64 // Tokens/ms.
+	rate    float64 // Tokens/s that its streams get; zero until seen.
+	read    window  // Prompt tokens sent to be read.
+	pace    float64 // What ownPace found at pacedAt.
+	pacedAt time.Time
 	failing float64 // Failure rate, 0 to 1.
 
 	strikes    int // Failures to reach it in a row.
@@ -95,6 +109,8 @@
 	j.unread = max(0, j.Prompt-u.cached(j.Parts))
 	j.memory = j.unread + j.Output
 	j.ahead = u.backlog()
+	u.read.add(now, j.unread)
+	j.made = 0
 	u.jobs[j.ID] = j
 	u.unread += j.unread
 	u.memory += j.memory
@@ -115,8 +131,58 @@
 	read := j.ahead + j.unread
 	if ms := float64(now.Sub(j.sent)) / float64(time.Millisecond); j.unread > 0 && read >= minSpeedTokens && ms > 0 {
 		seen := min(max(float64(read)/ms, minSpeed), maxSpeed)
-		u.speed += speedSmoothing * (seen - u.speed)
+		// What ran beside it slowed the reading, so a high speed says more than a low one.
+		weight := slowerSmoothing
+		if seen > u.speed {
+			weight = fasterSmoothing
+		}
+		u.speed += weight * (seen - u.speed)
+	}
+}
+
+// event notes further events of a stream, from which the pace of streams is learnt.
+func (u *upstream) event(now time.Time, j *Job, events int) {
+	gap := now.Sub(j.last)
+	j.last = now
+	if u.engine == nil || u.engine.EventTokens == 0 || gap <= 0 {
+		return
+	}
+	j.made += events * u.engine.EventTokens
+	seen := float64(events*u.engine.EventTokens) / gap.Seconds()
+	if u.rate == 0 {
+		u.rate = seen
 	}
+	u.rate += rateSmoothing * (seen - u.rate)
+}
+
+// needed returns the tokens/s that all but the most urgent few of the streams
+// here need to end in time.
+func (u *upstream) needed(now time.Time) float64 {
+	return max(float64(u.peers.Pace), u.ownPace(now))
+}
+
+// ownPace is needed for this entry's streams; it is worked out anew at intervals.
+func (u *upstream) ownPace(now time.Time) float64 {
+	if now.Sub(u.pacedAt) < paceInterval {
+		return u.pace
+	}
+	u.pacedAt, u.pace = now, 0
+	paces := make([]float64, 0, len(u.jobs))
+	for _, j := range u.jobs {
+		paces = append(paces, j.paceLeft(now))
+	}
+	if len(paces) > 0 {
+		slices.Sort(paces)
+		u.pace = paces[int(paceQuantile*float64(len(paces)-1))]
+	}
+	return u.pace
+}
+
+// duty returns the part of the time that the upstream spends on reading prompts,
+// were it sent so many more tokens.
+func (u *upstream) duty(now time.Time, unread int) float64 {
+	tokens := u.read.sum(now) + int(u.peers.Read) + unread
+	return float64(tokens) / (u.speed * float64(readWindow/time.Millisecond))
 }
 
 // remove notes that a job ended.
--- a/policy/place/use.go
+++ b/policy/place/use.go
@@ -1,11 +1,37 @@
 package place
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"marigoldcleat.example/cleat"
 )
 
+// window counts over a sliding readWindow.
+type window struct {
+	counts [useBuckets]int
+	newest int64
+}
+
+func (w *window) advance(now time.Time) {
+	bucket := now.UnixNano() / int64(readWindow/useBuckets)
+	for n := max(w.newest+1, bucket-useBuckets+1); n <= bucket; n++ {
+		w.counts[n%useBuckets] = 0
+	}
+	w.newest = max(w.newest, bucket)
+}
+
+func (w *window) add(now time.Time, n int) {
+	w.advance(now)
+	w.counts[w.newest%useBuckets] += n
+}
+
+func (w *window) sum(now time.Time) int {
+	w.advance(now)
+	return sum(w.counts)
+}
+
 // useBuckets divide the accounting window.
 const useBuckets = 8
 
@@ -33,8 +59,11 @@
 
 // uses accounts the workspaces' use of capacity.
 type uses struct {
-	window time.Duration
-	rows   map[cleat.WorkspaceID]*use
+	window   time.Duration
+	rows     map[cleat.WorkspaceID]*use
+	capacity float64 // Units that all upstreams produce in a window; zero when not known.
+	level    float64 // The max-min share of a workspace that asks for more, at levelled.
+	levelled time.Time
 }
 
 func newUses(window time.Duration) uses {
@@ -79,3 +108,44 @@
 	}
 	return list
 }
+
+// shareSlack is what a workspace may be sent of its share: expected output is a
+// hint, and the windows of entries and of the workspace's callers don't coincide.
+const shareSlack = 1.15
+
+// levelInterval is how long a max-min share is taken to hold.
+const levelInterval = 50 * time.Millisecond
+
+// exceeds reports whether a workspace was sent its max-min share of the
+// capacity already, so that a job of so many units would go beyond it.
+func (u *uses) exceeds(now time.Time, w cleat.WorkspaceID, units int) bool {
+	if u.capacity == 0 {
+		return false
+	}
+	if now.Sub(u.levelled) >= levelInterval {
+		u.levelled, u.level = now, u.share(now)
+	}
+	return float64(u.admitted(now, w)+units) > shareSlack*u.level
+}
+
+// share returns the most that a workspace is owed in a window: what is asked by
+// those that ask for less is left to the others in even parts.
+func (u *uses) share(now time.Time) float64 {
+	asked := make([]float64, 0, len(u.rows))
+	for w := range u.rows {
+		r := u.row(now, w)
+		if n := sum(r.asked) + int(r.peers.Asked); n > 0 {
+			asked = append(asked, float64(n))
+		}
+	}
+	slices.Sort(asked)
+	left := u.capacity
+	for i, n := range asked {
+		even := left / float64(len(asked)-i)
+		if n > even {
+			return even
+		}
+		left -= n
+	}
+	return math.Inf(1)
+}
--- a/role/proxy/config.go
+++ b/role/proxy/config.go
@@ -16,8 +16,8 @@
 const (
 	DefaultDialTimeout    = 400 * time.Millisecond // Several round trips inside a region.
 	DefaultSilence        = time.Second            // Unacknowledged bytes or probes after which a connection is dead.
-	DefaultIdle           = 4 * time.Second        // For which a connection to an upstream is kept, unless it says less.
-	DefaultMaxIdle        = 24                     // Kept connections for each upstream.
+	DefaultIdle           = 30 * time.Second       // For which a connection to an upstream is kept, unless it says less.
+	DefaultMaxIdle        = 64                     // Kept connections for each upstream.
 	DefaultReportInterval = 50 * time.Millisecond  // Between reports to other entries.
 	DefaultConfirmTimeout = 1500 * time.Millisecond
 	DefaultGrace          = 8 * time.Second // From the request to shut down to the end.
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -53,7 +53,7 @@
 		return
 	}
 	r.mu.Lock()
-	r.planner.SetServices(t.Services)
+	r.planner.SetServices(t.Services, t.Limits.TokensPerSec)
 	r.mu.Unlock()
 	r.table.Store(t)
 	r.log.Info("manifest in force", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services), "workspaces", len(t.Workspaces))
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -180,7 +180,7 @@
 		r.stop(r.links.Shutdown)
 	})
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: callerHeaderBytes}
-	g.Add(func() error { return serveHTTP(r.server, r.callers) }, func(error) { r.stop(r.server.Shutdown) })
+	g.Add(r.serveCallers, func(error) { r.stop(r.server.Shutdown) })
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	telem.Mount(e, r.health, r.metrics)
@@ -192,6 +192,16 @@
 	return trace.Wrap(g.Run(), "Role.Run")
 }
 
+// serveCallers returns when the role ends, not when a shutdown closes the
+// listener: requests may still run then.
+func (r *Role) serveCallers() error {
+	if err := serveHTTP(r.server, r.callers); err != nil {
+		return err
+	}
+	<-r.ctx.Done()
+	return nil
+}
+
 func serveHTTP(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return trace.Wrap(err)
--- a/role/proxy/stream.go
+++ b/role/proxy/stream.go
@@ -62,6 +62,9 @@
 }
 
 func (x *exchange) passEvents(rc *http.ResponseController, resp *http.Response, events []byte) error {
+	if x.begun {
+		x.role.event(x.job, bytes.Count(events, eventEnd))
+	}
 	x.begin()
 	if !x.events.started {
 		x.events.started = true
--- a/role/proxy/wait.go
+++ b/role/proxy/wait.go
@@ -92,6 +92,12 @@
 	r.kickIfWaiting()
 }
 
+func (r *Role) event(j *place.Job, events int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.planner.Event(r.clock.Now(), j, events)
+}
+
 func (r *Role) end(j *place.Job, o place.Outcome) {
 	r.mu.Lock()
 	r.planner.End(r.clock.Now(), j, o)
