place: try an upstream again that was avoided for its failures

Cause: the failure rate fell only with successes, which an upstream that is never chosen can't have.

--- /dev/null
+++ b/policy/budget/budget_test.go
@@ -0,0 +1,76 @@
+package budget_test
+
+import (
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/budget"
+)
+
+var _ = Describe("Budget", func() {
+	cfg := budget.Config{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	start := time.Unix(1e9, 0)
+	const service = cleat.ServiceName("s")
+
+	It("keeps the fleet's bound in every window while entries can't hear each other", func() {
+		const entries = 4
+		rnd := rand.New(rand.NewSource(1))
+		var fleet []*budget.Budget
+		for range entries {
+			b := budget.New(cfg)
+			b.SetEntries(entries)
+			fleet = append(fleet, b)
+		}
+		var requests, repeats []time.Time
+		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(10 * time.Millisecond) {
+			b := fleet[rnd.Intn(entries)]
+			if now.Sub(start) < 20*time.Second || now.Sub(start) > 40*time.Second {
+				b.Request(now, service)
+				requests = append(requests, now)
+			}
+			if b.Repeat(now, service) {
+				repeats = append(repeats, now)
+			}
+		}
+		Expect(repeats).NotTo(BeEmpty())
+		for _, from := range repeats {
+			n, m := within(repeats, from, cfg.Window), within(requests, from, cfg.Window)
+			before := within(requests, from.Add(-cfg.Window), cfg.Window)
+			Expect(float64(n)).To(BeNumerically("<=", cfg.Ratio*float64(max(m, before))+cfg.Slack))
+		}
+	})
+
+	It("refuses at once when the slack is spent and nothing is asked", func() {
+		b := budget.New(cfg)
+		b.SetEntries(4)
+		n := 0
+		for b.Repeat(start, service) {
+			n++
+		}
+		Expect(n).To(BeNumerically("<=", 54/4))
+		Expect(b.Repeat(start.Add(5*time.Second), service)).To(BeFalse())
+		Expect(b.Repeat(start.Add(12*time.Second), service)).To(BeTrue())
+	})
+
+	It("counts services apart", func() {
+		b := budget.New(budget.Config{Ratio: 0, Slack: 2, Window: time.Second})
+		Expect(b.Repeat(start, "a")).To(BeTrue())
+		Expect(b.Repeat(start, "a")).To(BeFalse())
+		Expect(b.Repeat(start, "b")).To(BeTrue())
+	})
+})
+
+// within counts the times in a window.
+func within(times []time.Time, from time.Time, window time.Duration) int {
+	n := 0
+	for _, t := range times {
+		if !t.Before(from) && t.Before(from.Add(window)) {
+			n++
+		}
+	}
+	return n
+}
--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -54,7 +54,7 @@
 // cost returns the expected wait at an upstream with its penalties, and whether
 // the upstream can take the job now.
 func (p *Planner) cost(now time.Time, j *Job, u *upstream, late bool) (time.Duration, bool) {
-	penalty := time.Duration(u.failing * float64(failurePenalty))
+	penalty := time.Duration(u.failureRate(now) * float64(failurePenalty))
 	if u.record.Domain != p.cfg.Domain {
 		penalty += p.cfg.AwayPenalty
 	}
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -324,10 +324,10 @@
 	delete(p.jobs, j.ID)
 	switch o {
 	case OutcomeServed:
-		u.noteOutcome(false)
+		u.noteOutcome(now, false)
 		u.reached()
 	case OutcomeFailed:
-		u.noteOutcome(true)
+		u.noteOutcome(now, true)
 	case OutcomeFull:
 		u.avoidUntil = now.Add(firstBackoff)
 	case OutcomeUnreachable:
--- /dev/null
+++ b/policy/place/planner_test.go
@@ -0,0 +1,276 @@
+package place_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/place"
+)
+
+const (
+	model = cleat.ServiceName("model")
+	desk  = cleat.ServiceName("desk")
+)
+
+var start = time.Unix(1e9, 0)
+
+// rig is a planner with engines and plain upstreams.
+type rig struct {
+	*place.Planner
+	now  time.Time
+	next uint64
+}
+
+func newRig(engines, plain int, tokensPerSec float64) *rig {
+	r := &rig{Planner: place.New(place.Config{Domain: "a"}), now: start}
+	var list []cleat.UpstreamRecord
+	for i := range engines {
+		list = append(list, upstream(fmt.Sprintf("m%d", i), model, 64))
+	}
+	for i := range plain {
+		list = append(list, upstream(fmt.Sprintf("d%d", i), desk, 2))
+	}
+	r.SetServices([]cleat.Service{
+		{Name: model, Engine: &cleat.ModelEngine{Slots: 64, MemoryTokens: 400000, EventTokens: 7}},
+		{Name: desk},
+	}, tokensPerSec)
+	r.SetUpstreams(list)
+	return r
+}
+
+func upstream(id string, s cleat.ServiceName, slots int) cleat.UpstreamRecord {
+	return cleat.UpstreamRecord{
+		Upstream: cleat.UpstreamID(id), Service: s, Address: "10.0.0.1:1", Domain: "a", Slots: slots, Phase: cleat.UpstreamReady, Born: 1,
+	}
+}
+
+// prompt returns a job whose prompt has a shared part of a session and one of its own.
+func (r *rig) prompt(w cleat.WorkspaceID, session uint64, shared, own, output int) *place.Job {
+	r.next++
+	return &place.Job{
+		ID: r.next, Service: model, Workspace: w, Prompt: shared + own, Output: output,
+		Parts:   []cleat.PromptPart{{Digest: session, Tokens: shared}, {Digest: 1<<32 + r.next, Tokens: own}},
+		Arrived: r.now, Target: r.now.Add(time.Second), Deadline: r.now.Add(12 * time.Second),
+	}
+}
+
+func (r *rig) action() *place.Job {
+	r.next++
+	return &place.Job{ID: r.next, Service: desk, Arrived: r.now, Target: r.now.Add(300 * time.Millisecond), Deadline: r.now.Add(4 * time.Second)}
+}
+
+// submit submits a job that must be decided at once.
+func (r *rig) submit(j *place.Job) place.Verdict {
+	v, decided := r.Submit(r.now, j)
+	Expect(decided).To(BeTrue())
+	return v
+}
+
+var _ = Describe("Planner", func() {
+	It("sends a session's requests where its shared part was read", func() {
+		r := newRig(9, 0, 0)
+		homes := make(map[uint64]cleat.UpstreamID)
+		for i := range 60 {
+			session := uint64(i % 6)
+			v := r.submit(r.prompt("w", session, 5000, 400, 100))
+			Expect(v.Placed()).To(BeTrue())
+			if home, ok := homes[session]; ok {
+				Expect(v.Upstream.Upstream).To(Equal(home))
+				Expect(v.Unread).To(Equal(400))
+			}
+			homes[session] = v.Upstream.Upstream
+			r.Begin(r.now.Add(200*time.Millisecond), v.Job)
+			r.End(r.now.Add(time.Second), v.Job, place.OutcomeServed)
+			r.now = r.now.Add(2 * time.Second)
+		}
+	})
+
+	It("chooses the same upstream at entries that have not heard of each other", func() {
+		a, b := newRig(9, 0, 0), newRig(9, 0, 0)
+		for session := range uint64(20) {
+			x, y := a.submit(a.prompt("w", session, 5000, 100, 50)), b.submit(b.prompt("w", session, 5000, 100, 50))
+			Expect(x.Upstream.Upstream).To(Equal(y.Upstream.Upstream))
+			a.End(a.now, x.Job, place.OutcomeServed)
+			b.End(b.now, y.Job, place.OutcomeServed)
+			a.now, b.now = a.now.Add(3*time.Second), b.now.Add(3*time.Second)
+		}
+	})
+
+	It("learns from another entry which parts were read and what runs", func() {
+		a, b := newRig(9, 0, 0), newRig(9, 0, 0)
+		b.next = 100
+		v := a.submit(a.prompt("w", 7, 5000, 100, 50))
+		b.TakeReport(b.now, "a", a.Report(a.now))
+		Expect(b.submit(b.prompt("w", 7, 5000, 100, 50)).Unread).To(Equal(100))
+		Expect(v.Unread).To(Equal(5100))
+	})
+
+	It("refuses at once what goes beyond a workspace's share while a small workspace is served", func() {
+		r := newRig(2, 0, 20000)
+		refused, served := 0, 0
+		for i := range 400 {
+			w := cleat.WorkspaceID("flood")
+			if i%10 == 0 {
+				w = "small"
+			}
+			v, decided := r.Submit(r.now, r.prompt(w, 1, 500, 1500, 50))
+			switch {
+			case !decided:
+			case v.Placed():
+				r.Begin(r.now.Add(10*time.Millisecond), v.Job)
+				r.End(r.now.Add(10*time.Millisecond), v.Job, place.OutcomeServed)
+				if w == "small" {
+					served++
+				}
+			case w == "flood":
+				Expect(v.Reason).To(Equal(place.ReasonShare))
+				Expect(v.RetryAfter).To(BeNumerically(">", 0))
+				refused++
+			}
+			r.now = r.now.Add(25 * time.Millisecond)
+		}
+		Expect(refused).To(BeNumerically(">", 200))
+		Expect(served).To(BeNumerically(">=", 36))
+	})
+
+	It("lets a workspace go beyond its share while engines are idle", func() {
+		r := newRig(4, 0, 1000)
+		for range 10 {
+			v := r.submit(r.prompt("only", 1, 500, 500, 50))
+			Expect(v.Placed()).To(BeTrue())
+			r.Begin(r.now, v.Job)
+			r.End(r.now, v.Job, place.OutcomeServed)
+			r.now = r.now.Add(time.Second)
+		}
+	})
+
+	It("refuses what can't be read in time instead of letting it wait for its deadline", func() {
+		r := newRig(1, 0, 0)
+		var waited, refused int
+		for range 200 {
+			v, decided := r.Submit(r.now, r.prompt("w", 1, 0, 4000, 50))
+			switch {
+			case !decided:
+				waited++
+			case !v.Placed():
+				Expect(v.Reason).To(Equal(place.ReasonOverload))
+				refused++
+			}
+		}
+		Expect(refused).To(BeNumerically(">", 150))
+		Expect(waited).To(BeNumerically("<", 30))
+	})
+
+	It("gives every waiting job a verdict by its deadline", func() {
+		r := newRig(1, 0, 0)
+		open := make(map[uint64]bool)
+		for range 60 {
+			j := r.prompt("w", 1, 0, 3000, 50)
+			if _, decided := r.Submit(r.now, j); !decided {
+				open[j.ID] = true
+			}
+		}
+		Expect(open).NotTo(BeEmpty())
+		for r.now.Before(start.Add(12 * time.Second)) {
+			r.now = r.now.Add(25 * time.Millisecond)
+			for _, v := range r.Dispatch(r.now) {
+				delete(open, v.Job.ID)
+			}
+		}
+		Expect(open).To(BeEmpty())
+		Expect(r.Waiting()).To(BeZero())
+	})
+
+	It("sends the waiting jobs of the workspace that got least first", func() {
+		r := newRig(1, 0, 0)
+		var running []*place.Job
+		for len(running) < 200 {
+			v, decided := r.Submit(r.now, r.prompt("busy", 1, 0, 2000, 10))
+			if !decided || !v.Placed() {
+				break
+			}
+			running = append(running, v.Job)
+		}
+		late := r.prompt("light", 2, 0, 2000, 10)
+		_, decided := r.Submit(r.now, late)
+		Expect(decided).To(BeFalse())
+		for _, j := range running {
+			r.Begin(r.now.Add(50*time.Millisecond), j)
+		}
+		verdicts := r.Dispatch(r.now.Add(60 * time.Millisecond))
+		Expect(verdicts).NotTo(BeEmpty())
+		Expect(verdicts[0].Job).To(BeIdenticalTo(late))
+	})
+
+	It("never sends to an upstream that leaves or was tried", func() {
+		r := newRig(0, 3, 0)
+		list := []cleat.UpstreamRecord{upstream("d0", desk, 2), upstream("d1", desk, 2), upstream("d2", desk, 2)}
+		list[0].Phase = cleat.UpstreamLeaving
+		r.SetUpstreams(list)
+		j := r.action()
+		j.Avoid = []cleat.UpstreamID{"d1"}
+		Expect(r.submit(j).Upstream.Upstream).To(Equal(cleat.UpstreamID("d2")))
+		k := r.action()
+		k.Avoid = []cleat.UpstreamID{"d1", "d2"}
+		Expect(r.submit(k).Reason).To(Equal(place.ReasonNoUpstream))
+	})
+
+	It("avoids an upstream that can't be reached, and asks it again later", func() {
+		r := newRig(0, 2, 0)
+		var bad cleat.UpstreamID
+		used := make(map[cleat.UpstreamID]int)
+		for range 40 {
+			v := r.submit(r.action())
+			if bad == "" {
+				bad = v.Upstream.Upstream
+			}
+			if v.Upstream.Upstream == bad {
+				used[bad]++
+				r.End(r.now, v.Job, place.OutcomeUnreachable)
+			} else {
+				r.End(r.now, v.Job, place.OutcomeServed)
+			}
+			r.now = r.now.Add(50 * time.Millisecond)
+		}
+		Expect(used[bad]).To(And(BeNumerically(">", 1), BeNumerically("<", 8)))
+	})
+
+	It("forgets the load and cache of an upstream's earlier life", func() {
+		r := newRig(1, 0, 0)
+		Expect(r.submit(r.prompt("w", 1, 5000, 100, 50)).Unread).To(Equal(5100))
+		again := upstream("m0", model, 64)
+		again.Born = 2
+		r.SetUpstreams([]cleat.UpstreamRecord{again})
+		Expect(r.submit(r.prompt("w", 1, 5000, 100, 50)).Unread).To(Equal(5100))
+	})
+
+	It("keeps requests within an engine's memory", func() {
+		r := newRig(1, 0, 0)
+		tokens := 0
+		for range 64 {
+			v, decided := r.Submit(r.now, r.prompt("w", r.next, 0, 15000, 100))
+			if decided && v.Placed() {
+				tokens += 15100
+				r.Begin(r.now.Add(time.Millisecond), v.Job)
+			}
+			r.now = r.now.Add(2 * time.Second)
+		}
+		Expect(tokens).To(And(BeNumerically(">", 200000), BeNumerically("<=", 400000)))
+	})
+
+	It("drops what an entry reported once it is silent", func() {
+		r := newRig(0, 1, 0)
+		full := &cleat.PlacementReport{Seq: 1, Loads: []cleat.UpstreamLoad{{Upstream: "d0", Running: 50}}}
+		r.TakeReport(r.now, "other", full)
+		_, decided := r.Submit(r.now, r.action())
+		Expect(decided).To(BeFalse())
+		r.now = r.now.Add(3 * time.Second)
+		r.Tick(r.now)
+		Expect(r.Dispatch(r.now)).To(HaveLen(1))
+		Expect(r.submit(r.action()).Placed()).To(BeTrue())
+	})
+})
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -31,6 +32,8 @@
 	failureSmoothing = 0.15
 	// failurePenalty is added to the expected wait at a failure rate of one.
 	failurePenalty = 2 * time.Second
+	// failureHalfLife is the time in which the failure rate halves by itself.
+	failureHalfLife = 3 * time.Second
 	// firstBackoff and maxBackoff bound how long an upstream that can't be reached is avoided.
 	firstBackoff, maxBackoff = 200 * time.Millisecond, 3 * time.Second
 	// cacheShare is the part of an engine's memory assumed to keep shared parts of prompts.
@@ -57,7 +60,8 @@
 	read    window  // Prompt tokens sent to be read.
 	pace    float64 // What ownPace found at pacedAt.
 	pacedAt time.Time
-	failing float64 // Failure rate, 0 to 1.
+	failing float64 // Failure rate, 0 to 1, when it was last moved.
+	movedAt time.Time
 
 	strikes    int // Failures to reach it in a row.
 	avoidUntil time.Time
@@ -199,12 +203,20 @@
 }
 
 // noteOutcome moves the failure rate.
-func (u *upstream) noteOutcome(failed bool) {
+func (u *upstream) noteOutcome(now time.Time, failed bool) {
 	seen := 0.0
 	if failed {
 		seen = 1
 	}
+	u.failing = u.failureRate(now)
 	u.failing += failureSmoothing * (seen - u.failing)
+	u.movedAt = now
+}
+
+// failureRate returns the part of requests that fail. It falls with time, so
+// that an upstream that is avoided for its failures is tried again.
+func (u *upstream) failureRate(now time.Time) float64 {
+	return u.failing * math.Exp2(-now.Sub(u.movedAt).Seconds()/failureHalfLife.Seconds())
 }
 
 // unreachable avoids the upstream for a while that doubles with each failure in a row.
@@ -212,7 +224,7 @@
 	pause := firstBackoff << min(u.strikes, 8)
 	u.strikes++
 	u.avoidUntil = now.Add(min(pause, maxBackoff))
-	u.noteOutcome(true)
+	u.noteOutcome(now, true)
 }
 
 func (u *upstream) reached() {
--- /dev/null
+++ b/policy/roster/table_test.go
@@ -0,0 +1,163 @@
+package roster_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/roster"
+)
+
+const (
+	ready   = cleat.UpstreamReady
+	leaving = cleat.UpstreamLeaving
+)
+
+// said is one announcement; a withdrawal has no phase.
+type said struct {
+	id      cleat.UpstreamID
+	service cleat.ServiceName
+	address string
+	phase   cleat.UpstreamPhase
+	born    int64
+	seq     uint64
+}
+
+func (s said) record() cleat.UpstreamRecord {
+	return cleat.UpstreamRecord{
+		Upstream: s.id, Service: s.service, Address: s.address, Slots: 4, Phase: s.phase, Born: s.born, Sequence: s.seq,
+	}
+}
+
+var _ = Describe("Table", func() {
+	now := time.Unix(1e9, 0)
+
+	cases := map[string]struct {
+		said   []said
+		usable map[cleat.UpstreamID]cleat.UpstreamPhase
+	}{
+		"one upstream": {
+			[]said{{"a", "s", "10.0.0.1:1", ready, 5, 1}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{"a": ready},
+		},
+		"a late announcement of the same life": {
+			[]said{{"a", "s", "10.0.0.1:1", leaving, 5, 7}, {"a", "s", "10.0.0.1:1", ready, 5, 6}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{"a": leaving},
+		},
+		"an announcement of an earlier life": {
+			[]said{{"a", "s", "10.0.0.1:1", ready, 9, 1}, {"a", "s", "10.0.0.1:1", leaving, 5, 99}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{"a": ready},
+		},
+		"a new life whose numbers begin anew": {
+			[]said{{"a", "s", "10.0.0.1:1", leaving, 5, 99}, {"a", "s", "10.0.0.1:1", ready, 9, 1}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{"a": ready},
+		},
+		"an address that passed to a later upstream": {
+			[]said{{"a", "s", "10.0.0.1:1", ready, 5, 1}, {"b", "t", "10.0.0.1:1", ready, 9, 1}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{"b": ready},
+		},
+		"an old announcement after the address passed on": {
+			[]said{{"b", "t", "10.0.0.1:1", ready, 9, 1}, {"a", "s", "10.0.0.1:1", ready, 5, 3}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{"b": ready},
+		},
+		"an announcement after the end of its life": {
+			[]said{{"a", "s", "10.0.0.1:1", ready, 5, 1}, {id: "a"}, {"a", "s", "10.0.0.1:1", ready, 5, 2}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{},
+		},
+		"an end heard before the first announcement": {
+			[]said{{id: "a"}, {"a", "s", "10.0.0.1:1", ready, 5, 2}, {"a", "s", "10.0.0.1:1", ready, 5, 3}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{},
+		},
+		"a new life after the end of the one before": {
+			[]said{{"a", "s", "10.0.0.1:1", ready, 5, 1}, {id: "a"}, {"a", "s", "10.0.0.1:1", ready, 9, 1}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{"a": ready},
+		},
+		"an earlier upstream whose address a later one left": {
+			[]said{{"a", "s", "10.0.0.1:1", ready, 5, 1}, {"b", "t", "10.0.0.1:1", ready, 9, 1}, {id: "b"}},
+			map[cleat.UpstreamID]cleat.UpstreamPhase{},
+		},
+	}
+	for name, c := range cases {
+		It("uses what counts of "+name, func() {
+			t := roster.New()
+			for i, s := range c.said {
+				at := now.Add(time.Duration(i) * time.Second)
+				if s.phase == "" {
+					t.Withdraw(at, s.id)
+					continue
+				}
+				t.Add(at, s.record())
+			}
+			usable := make(map[cleat.UpstreamID]cleat.UpstreamPhase)
+			for _, r := range t.Usable() {
+				usable[r.Upstream] = r.Phase
+			}
+			Expect(usable).To(Equal(c.usable))
+		})
+	}
+
+	It("comes to the same from any order of the same announcements", func() {
+		all := []said{
+			{"a", "s", "10.0.0.1:1", ready, 5, 1},
+			{"a", "s", "10.0.0.1:1", leaving, 5, 2},
+			{"a", "s", "10.0.0.2:1", ready, 9, 1},
+			{"b", "t", "10.0.0.1:1", ready, 7, 4},
+		}
+		var want []cleat.UpstreamRecord
+		for _, order := range [][]int{{0, 1, 2, 3}, {3, 2, 1, 0}, {2, 0, 3, 1}, {1, 3, 0, 2}} {
+			t := roster.New()
+			for _, i := range order {
+				t.Add(now, all[i].record())
+			}
+			if want == nil {
+				want = t.Usable()
+			}
+			Expect(t.Usable()).To(Equal(want))
+		}
+	})
+
+	It("tells others only what they must know", func() {
+		t := roster.New()
+		Expect(t.Add(now, said{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())).To(BeTrue())
+		Expect(t.Add(now, said{"a", "s", "10.0.0.1:1", ready, 5, 2}.record())).To(BeFalse())
+		Expect(t.Add(now, said{"a", "s", "10.0.0.1:1", leaving, 5, 3}.record())).To(BeTrue())
+		_, changed := t.Withdraw(now, "a")
+		Expect(changed).To(BeTrue())
+		_, changed = t.Withdraw(now, "a")
+		Expect(changed).To(BeFalse())
+	})
+
+	It("keeps an upstream that is silent for seconds and forgets it later", func() {
+		t := roster.New()
+		t.Add(now, said{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
+		t.Tick(now.Add(20 * time.Second))
+		Expect(t.Usable()).To(HaveLen(1))
+		t.Tick(now.Add(roster.ForgetSilent))
+		Expect(t.List()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Check", func() {
+	good := said{"a", "s", "10.0.0.1:1", ready, 5, 1}
+	cases := map[string]struct {
+		change func(*cleat.UpstreamRecord)
+		ok     bool
+	}{
+		"a whole record":    {func(*cleat.UpstreamRecord) {}, true},
+		"no service":        {func(r *cleat.UpstreamRecord) { r.Service = "" }, false},
+		"a name for an IP":  {func(r *cleat.UpstreamRecord) { r.Address = "host:1" }, false},
+		"no port":           {func(r *cleat.UpstreamRecord) { r.Address = "10.0.0.1" }, false},
+		"an unknown phase":  {func(r *cleat.UpstreamRecord) { r.Phase = "resting" }, false},
+		"no slots":          {func(r *cleat.UpstreamRecord) { r.Slots = 0 }, false},
+		"no upstream named": {func(r *cleat.UpstreamRecord) { r.Upstream = "" }, false},
+	}
+	for name, c := range cases {
+		It("judges "+name, func() {
+			r := good.record()
+			c.change(&r)
+			Expect(roster.Check(&r) == nil).To(Equal(c.ok))
+		})
+	}
+})
