--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		cost, ok := p.cost(now, j, u, late)
-		if ok && (best == nil || cost < least) {
+		if ok && (best == nil || cost < least || (cost == least && u.sentAt.Before(best.sentAt))) {
 			best, least = u, cost
 		}
 	}
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -34,6 +34,8 @@
 	failurePenalty = 2 * time.Second
 	// failureHalfLife is the time in which the failure rate halves by itself.
 	failureHalfLife = 3 * time.Second
+	// leastFailureRate is the rate below which an upstream counts as sound.
+	leastFailureRate = 0.02
 	// firstBackoff and maxBackoff bound how long an upstream that can't be reached is avoided.
 	firstBackoff, maxBackoff = 200 * time.Millisecond, 3 * time.Second
 	// cacheShare is the part of an engine's memory assumed to keep shared parts of prompts.
@@ -62,6 +64,7 @@
 	pacedAt time.Time
 	failing float64 // Failure rate, 0 to 1, when it was last moved.
 	movedAt time.Time
+	sentAt  time.Time // When it was sent a job last.
 
 	strikes    int // Failures to reach it in a row.
 	avoidUntil time.Time
@@ -109,6 +112,7 @@
 // add notes that a job is sent.
 func (u *upstream) add(now time.Time, j *Job) {
 	j.upstream = u
+	u.sentAt = now
 	j.sent, j.last, j.begun = now, now, false
 	j.unread = max(0, j.Prompt-u.cached(j.Parts))
 	j.memory = j.unread + j.Output
@@ -216,7 +220,11 @@
 // failureRate returns the part of requests that fail. It falls with time, so
 // that an upstream that is avoided for its failures is tried again.
 func (u *upstream) failureRate(now time.Time) float64 {
-	return u.failing * math.Exp2(-now.Sub(u.movedAt).Seconds()/failureHalfLife.Seconds())
+	rate := u.failing * math.Exp2(-now.Sub(u.movedAt).Seconds()/failureHalfLife.Seconds())
+	if rate < leastFailureRate {
+		return 0
+	}
+	return rate
 }
 
 // unreachable avoids the upstream for a while that doubles with each failure in a row.
