place: learn reading speeds in small steps from prompts that were alone

Cause: speeds were learnt from the backlog believed ahead of a prompt, which other entries had overstated; they rose to sixteen times the truth, and the bound on time spent reading no longer held. Ruled out: lost links between entries and a changed limit (both logged, neither seen).

--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -63,6 +63,14 @@
 	return paceMargin * float64(left) / max(j.Deadline.Sub(now), time.Second).Seconds()
 }
 
+// ownTokens returns the size of the prompt's last part.
+func (j *Job) ownTokens() int {
+	if len(j.Parts) == 0 {
+		return j.Prompt
+	}
+	return j.Parts[len(j.Parts)-1].Tokens
+}
+
 // costUnits is what a job takes of the fleet's capacity: a token read counts
 // once, a token written twice.
 func (j *Job) costUnits() int { return max(1, j.Prompt+2*j.Output) }
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -95,7 +95,7 @@
 	for _, r := range list {
 		u, ok := p.upstreams[r.Upstream]
 		if !ok || u.record.Born != r.Born || u.record.Address != r.Address {
-			u = newUpstream(r)
+			u = newUpstream(r, p.usualSpeed(r.Service))
 		}
 		u.record = r
 		u.setEngine(p.engines[r.Service])
@@ -111,6 +111,22 @@
 	p.sumPeers()
 }
 
+// usualSpeed returns the mean reading speed of a service's upstreams, which a new
+// one begins with.
+func (p *Planner) usualSpeed(s cleat.ServiceName) float64 {
+	sum, n := 0.0, 0
+	for _, u := range p.upstreams {
+		if u.record.Service == s {
+			sum += u.speed
+			n++
+		}
+	}
+	if n == 0 {
+		return initialSpeed
+	}
+	return sum / float64(n)
+}
+
 // Waiting returns how many jobs wait.
 func (p *Planner) Waiting() int { return len(p.waiting) }
 
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -14,8 +14,9 @@
 	initialSpeed = 30.0
 	// minSpeed and maxSpeed bound the learnt speed, in tokens/ms.
 	minSpeed, maxSpeed = 2.0, 1000.0
-	// fasterSmoothing and slowerSmoothing are the weights of one observation of the speed.
-	fasterSmoothing, slowerSmoothing = 0.2, 0.03
+	// fasterStep and slowerStep are by how much one observation moves the speed: it
+	// settles where one in three is faster.
+	fasterStep, slowerStep = 0.04, 0.02
 	// rateSmoothing is the weight of one event in the pace of an upstream's streams.
 	rateSmoothing = 0.05
 	// paceInterval is how long the pace that streams need is taken to hold.
@@ -27,7 +28,7 @@
 	readWindow = 2 * time.Second
 	// minSpeedTokens is the least number of tokens from which a speed is learnt: below it
 	// the fixed part of the time to the first event dominates.
-	minSpeedTokens = 2000
+	minSpeedTokens = 1500
 	// failureSmoothing is the weight of one request's outcome in the failure rate.
 	failureSmoothing = 0.15
 	// failurePenalty is added to the expected wait at a failure rate of one.
@@ -70,8 +71,8 @@
 	avoidUntil time.Time
 }
 
-func newUpstream(r cleat.UpstreamRecord) *upstream {
-	return &upstream{record: r, jobs: make(map[uint64]*Job), speed: initialSpeed}
+func newUpstream(r cleat.UpstreamRecord, speed float64) *upstream {
+	return &upstream{record: r, jobs: make(map[uint64]*Job), speed: speed}
 }
 
 // setEngine takes what the service's manifest says of its engines.
@@ -129,23 +130,28 @@
 	}
 }
 
-// begin notes a job's first event, from which the reading speed is learnt.
+// begin notes a job's first event, from which the reading speed is learnt: only
+// from a prompt that was alone and whose shared parts were kept, and only of its
+// own last part, which nobody else can have sent. What ran beside it slowed the
+// reading, so the speed follows the upper of what is seen, in small steps that no
+// single observation can exceed.
 func (u *upstream) begin(now time.Time, j *Job) {
 	if j.begun {
 		return
 	}
 	j.begun = true
 	u.unread -= j.unread
-	read := j.ahead + j.unread
-	if ms := float64(now.Sub(j.sent)) / float64(time.Millisecond); j.unread > 0 && read >= minSpeedTokens && ms > 0 {
-		seen := min(max(float64(read)/ms, minSpeed), maxSpeed)
-		// What ran beside it slowed the reading, so a high speed says more than a low one.
-		weight := slowerSmoothing
-		if seen > u.speed {
-			weight = fasterSmoothing
-		}
-		u.speed += weight * (seen - u.speed)
+	own := j.ownTokens()
+	ms := float64(now.Sub(j.sent)) / float64(time.Millisecond)
+	if own < minSpeedTokens || j.unread > own || j.ahead > 0 || ms <= 0 {
+		return
+	}
+	if float64(own)/ms > u.speed {
+		u.speed *= 1 + fasterStep
+	} else {
+		u.speed *= 1 - slowerStep
 	}
+	u.speed = min(max(u.speed, minSpeed), maxSpeed)
 }
 
 // event notes further events of a stream, from which the pace of streams is learnt.
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -56,7 +56,7 @@
 	r.planner.SetServices(t.Services, t.Limits.TokensPerSec)
 	r.mu.Unlock()
 	r.table.Store(t)
-	r.log.Info("manifest in force", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services), "workspaces", len(t.Workspaces))
+	r.log.Info("manifest in force", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services), "workspaces", len(t.Workspaces), "tokens_per_s", t.Limits.TokensPerSec)
 }
 
 // takeUpstreams takes announcements; connections to upstreams that are gone are closed.
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -28,7 +28,7 @@
 // Parts of the grace period of a shutdown.
 const (
 	// closingPart is when new connections are no longer taken: balancers have asked twice by then.
-	closingPart = 0.4
+	closingPart = 0.32
 	// endPart is when what still runs is cut off.
 	endPart = 0.95
 )
