--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -160,7 +160,7 @@
 // limit judges a job whose workspace was sent its share of the capacity: it goes
 // only where engines have time to spare and nothing waits for them.
 func (p *Planner) limit(now time.Time, j *Job) (Verdict, bool) {
-	if p.engines[j.Service] == nil || !p.uses.exceeds(now, j.Workspace, j.costUnits()) {
+	if p.engines[j.Service] == nil || !p.uses.exceeds(now, j.Workspace) {
 		return Verdict{}, false
 	}
 	if !p.blockedBy(j) {
--- a/policy/place/use.go
+++ b/policy/place/use.go
@@ -109,23 +109,20 @@
 	return list
 }
 
-// shareSlack is what a workspace may be sent of its share: expected output is a
-// hint, and the windows of entries and of the workspace's callers don't coincide.
-const shareSlack = 1.15
-
 // levelInterval is how long a max-min share is taken to hold.
 const levelInterval = 50 * time.Millisecond
 
-// exceeds reports whether a workspace was sent its max-min share of the
-// capacity already, so that a job of so many units would go beyond it.
-func (u *uses) exceeds(now time.Time, w cleat.WorkspaceID, units int) bool {
+// exceeds reports whether a workspace was sent its max-min share of the capacity
+// already. The job that crosses the share still goes: else large requests would
+// never fit beside small ones.
+func (u *uses) exceeds(now time.Time, w cleat.WorkspaceID) bool {
 	if u.capacity == 0 {
 		return false
 	}
 	if now.Sub(u.levelled) >= levelInterval {
 		u.levelled, u.level = now, u.share(now)
 	}
-	return float64(u.admitted(now, w)+units) > shareSlack*u.level
+	return float64(u.admitted(now, w)) >= u.level
 }
 
 // share returns the most that a workspace is owed in a window: what is asked by
