--- a/cmd/hosted/process.go
+++ b/cmd/hosted/process.go
@@ -13,11 +13,16 @@
 
 // heapShare is the part of a process's memory that the runtime collects towards;
 // the rest is left to stacks, buffers of the kernel and peaks.
-const heapShare = 0.7
+const heapShare = 0.6
+
+// gcPercent lets the heap grow to several times what is in use before it is
+// collected: processor time is scarcer than memory, which has its own limit.
+const gcPercent = 300
 
 func limitMemory(boot *platform.Boot) {
 	if boot.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(boot.MemoryBytes)))
+		debug.SetGCPercent(gcPercent)
 	}
 }
 
--- a/link/wire/server.go
+++ b/link/wire/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
@@ -13,7 +14,10 @@
 	"marigoldcleat.example/cleat"
 )
 
-const maxHandshakes = 128
+const (
+	maxHandshakes = 128
+	acceptPause   = 50 * time.Millisecond // After a connection that could not be accepted.
+)
 
 // Server accepts links.
 type Server struct {
@@ -61,7 +65,10 @@
 			return nil
 		}
 		if err != nil {
-			return trace.Wrap(err, "Server.Serve")
+			// Descriptors or memory are short: links that stand go on, and new ones may come later.
+			s.log.Warn("link not accepted", "err", err)
+			time.Sleep(acceptPause)
+			continue
 		}
 		s.slots <- struct{}{}
 		if !s.track(conn) {
--- /dev/null
+++ b/policy/place/bench_test.go
@@ -0,0 +1,64 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/place"
+)
+
+// BenchmarkCrowd is one request, one report and one look in a fleet of 49
+// engines and 27 entries while 300 requests wait.
+func BenchmarkCrowd(b *testing.B) {
+	RegisterTestingT(b)
+	r := newRig(49, 5, 1000000)
+	reports := make([]*cleat.PlacementReport, 26)
+	for i := range reports {
+		m := &cleat.PlacementReport{Seq: 1}
+		for e := range 49 {
+			m.Loads = append(m.Loads, cleat.UpstreamLoad{Upstream: cleat.UpstreamID(fmt.Sprintf("m%d", e)), Prefill: 2000, Running: 2, Memory: 9000, Read: 4000, Pace: 30})
+		}
+		for w := range 30 {
+			m.Uses = append(m.Uses, cleat.WorkspaceUse{Workspace: cleat.WorkspaceID(fmt.Sprint(w)), Asked: 5000, Admitted: 3000})
+		}
+		reports[i] = m
+	}
+	report := func(n int) {
+		m := *reports[n%len(reports)]
+		m.Seq = uint64(n + 2)
+		r.TakeReport(r.now, cleat.InstanceID(fmt.Sprint(n%len(reports))), &m)
+	}
+	for i := range reports {
+		report(i)
+	}
+	for i := 0; r.Waiting() < 300 && i < 3000; i++ {
+		r.Submit(r.now, r.prompt(cleat.WorkspaceID(fmt.Sprint(i%30)), uint64(i%200), 2000, 3000, 200))
+	}
+	b.Run("submit", func(b *testing.B) {
+		for i := range b.N {
+			if v, decided := r.Submit(r.now, r.prompt("1", uint64(i%200), 2000, 3000, 200)); decided && v.Placed() {
+				r.End(r.now, v.Job, place.OutcomeLeft)
+			}
+		}
+	})
+	b.Run("report", func(b *testing.B) {
+		for i := range b.N {
+			report(i + 100)
+		}
+	})
+	b.Run("dispatch", func(b *testing.B) {
+		for range b.N {
+			r.Dispatch(r.now)
+		}
+		b.ReportMetric(float64(r.Waiting()), "waiting")
+	})
+	b.Run("own report", func(b *testing.B) {
+		for i := range b.N {
+			r.Report(r.now.Add(time.Duration(i) * time.Millisecond))
+		}
+	})
+}
--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -67,7 +67,7 @@
 		return 0, false
 	}
 	limit := int(memoryShare * float64(u.engine.MemoryTokens))
-	if u.running() > 0 && u.memory+int(u.peers.Memory)+unread+j.Output > limit {
+	if u.running() > 0 && u.memory+u.peers.memory+unread+j.Output > limit {
 		return 0, false
 	}
 	wait := u.wait(unread)
@@ -115,24 +115,34 @@
 	needed := u.needed(now)
 	own := min(1, j.paceLeft(now.Add(wait))/best)
 	others := min(1, needed/best)
-	lane := lane(u)
 	duty := u.duty(now, min(unread, int(u.speed*dutyStep)))
 	if u.running() > 0 && (duty > maxDuty || (u.rate > 0 && u.rate < needed)) {
 		return 0, false
 	}
 	reading := time.Duration(float64(unread)/u.speed) * time.Millisecond
-	urgent := time.Duration(own * (duty*float64(paceWeight) + lane*float64(laneWeight)))
-	return urgent + time.Duration((othersWeight*others+1-lane)*float64(reading)), true
+	urgent := time.Duration(own * (duty*float64(paceWeight) + u.lane*float64(laneWeight)))
+	return urgent + time.Duration((othersWeight*others+1-u.lane)*float64(reading)), true
 }
 
-// lane orders upstreams, alike at all entries, from 0 for those that urgent
-// streams fill first to 1 for those that long prompts do.
-func lane(u *upstream) float64 {
+// hashOf returns a hash of a name that is the same at all entries.
+func hashOf(name string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte("lane " + u.record.Upstream)) // It never fails.
-	return float64(h.Sum64()*0x9E3779B97F4A7C15>>40) / (1 << 24)
+	_, _ = h.Write([]byte(name)) // It never fails.
+	return h.Sum64()
+}
+
+// unit maps a hash to a number from 0 to 1.
+func unit(hash uint64) float64 {
+	return float64(hash*0x9E3779B97F4A7C15>>40) / (1 << 24)
 }
 
+// laneOf orders upstreams, alike at all entries, from 0 for those that urgent
+// streams fill first to 1 for those that long prompts do.
+func laneOf(hash uint64) float64 { return unit(hash ^ laneSalt) }
+
+// laneSalt keeps the order of lanes apart from the one of preferences.
+const laneSalt = 0x6c616e65
+
 // rereadWeight is how many times over the reading of a shared part counts at an
 // upstream that doesn't keep it: reading it again takes time from all others.
 const rereadWeight = 3
@@ -155,10 +165,7 @@
 
 // preference orders upstreams for a prompt's shared parts, from 0 to 1.
 func preference(j *Job, u *upstream) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(u.record.Upstream)) // It never fails.
-	x := (h.Sum64() ^ j.Parts[len(j.Parts)-2].Digest) * 0x9E3779B97F4A7C15
-	return float64(x>>40) / (1 << 24)
+	return unit(u.hash ^ j.Parts[len(j.Parts)-2].Digest)
 }
 
 // plainCost spreads requests over the upstreams of a plain service by their load.
@@ -179,13 +186,14 @@
 }
 
 // judge refuses a job that can't be served in time behind so many prompt tokens.
-func (p *Planner) judge(now time.Time, j *Job, ahead int) (Verdict, bool) {
-	wait := p.drainTime(now, j.Service, ahead)
+func (p *Planner) judge(now time.Time, j *Job, d drain, ahead int) (Verdict, bool) {
+	wait := d.time(ahead)
+	idle := p.idleWait(now, j)
 	limit := j.Target
-	if p.late(now, j) {
+	if now.Add(idle + p.cfg.Margin).After(j.Target) {
 		limit = j.Target.Add(j.Deadline.Sub(j.Target) / lateShare)
 	}
-	if now.Add(wait + p.idleWait(j)).After(limit) {
+	if now.Add(wait + idle).After(limit) {
 		retry := min(max(wait, p.cfg.MaxRetry/8), p.cfg.MaxRetry)
 		return Verdict{Job: j, Reason: ReasonOverload, RetryAfter: retry}, true
 	}
@@ -194,26 +202,38 @@
 
 // lateShare divides the time between objective and deadline: a late job waits
 // for this part of it at most.
-const lateShare = 2
+const lateShare = 5
+
+// drain is how fast a service's upstreams read what waits for them.
+type drain struct {
+	plain   bool    // There are no prompts to read.
+	speed   float64 // Tokens/ms; zero when no upstream can be used.
+	backlog int     // Tokens that the upstreams have to read.
+	share   float64 // This entry's part.
+	longest time.Duration
+}
 
-// drainTime is how long it takes to get so many waiting prompt tokens, behind
-// what the upstreams have, read.
-func (p *Planner) drainTime(now time.Time, s cleat.ServiceName, ahead int) time.Duration {
-	speed, backlog := 0.0, 0
+func (p *Planner) drainOf(now time.Time, s cleat.ServiceName) drain {
+	d := drain{share: 1 / float64(1+p.livePeers(now)), longest: p.cfg.MaxRetry, plain: p.engines[s] == nil}
 	for _, u := range p.services[s] {
-		if u.engine == nil {
-			return 0
-		}
 		if u.record.Phase == cleat.UpstreamReady && !now.Before(u.avoidUntil) {
-			speed += u.speed
-			backlog += u.backlog()
+			d.speed += u.speed
+			d.backlog += u.backlog()
 		}
 	}
-	if speed == 0 {
-		return p.cfg.MaxRetry
+	return d
+}
+
+// time is how long it takes to get so many waiting prompt tokens, behind what the
+// upstreams have, read.
+func (d drain) time(ahead int) time.Duration {
+	switch {
+	case d.plain:
+		return 0
+	case d.speed == 0:
+		return d.longest
 	}
-	share := 1 / float64(1+p.livePeers(now))
-	return time.Duration((float64(backlog)+float64(ahead)/share)/speed) * time.Millisecond
+	return time.Duration((float64(d.backlog)+float64(ahead)/d.share)/d.speed) * time.Millisecond
 }
 
 func (p *Planner) livePeers(now time.Time) int {
--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -24,6 +24,9 @@
 	unread   int // Prompt tokens that the upstream has to read.
 	memory   int // Tokens that it holds there.
 	begun    bool
+	idle     time.Duration // See Planner.idleWait.
+	idleAt   time.Time
+	late     bool      // As of the last look at the waiting jobs.
 	last     time.Time // Its newest event.
 	made     int       // Output tokens of its present attempt.
 	sent     time.Time
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -150,7 +151,7 @@
 			return p.send(now, j, u), true
 		}
 	}
-	if v, refused := p.judge(now, j, p.aheadOf(now, j)); refused {
+	if v, refused := p.judge(now, j, p.drainOf(now, j.Service), p.aheadOf(now, j)); refused {
 		return v, true
 	}
 	p.waiting = append(p.waiting, j)
@@ -185,6 +186,10 @@
 	return u.record.Phase == cleat.UpstreamReady && !slices.Contains(j.Avoid, u.record.Upstream)
 }
 
+// triesPerDispatch bounds how many jobs of a service are tried in one look, so
+// that its cost doesn't grow with what waits.
+const triesPerDispatch = 8
+
 // Dispatch returns verdicts on jobs that waited.
 func (p *Planner) Dispatch(now time.Time) []Verdict {
 	if len(p.waiting) == 0 {
@@ -193,16 +198,25 @@
 	var verdicts []Verdict
 	var left []*Job
 	ahead := make(map[cleat.ServiceName]int)
+	tries := make(map[cleat.ServiceName]int)
+	drains := make(map[cleat.ServiceName]drain)
 	for _, j := range p.inOrder(now) {
 		if !p.mayWaitFor(j) {
 			verdicts = append(verdicts, Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetry / 4})
 			continue
 		}
-		if u := p.choose(now, j); u != nil {
-			verdicts = append(verdicts, p.send(now, j, u))
-			continue
+		if tries[j.Service]++; tries[j.Service] <= triesPerDispatch {
+			if u := p.choose(now, j); u != nil {
+				verdicts = append(verdicts, p.send(now, j, u))
+				continue
+			}
 		}
-		if v, refused := p.judge(now, j, ahead[j.Service]); refused {
+		d, ok := drains[j.Service]
+		if !ok {
+			d = p.drainOf(now, j.Service)
+			drains[j.Service] = d
+		}
+		if v, refused := p.judge(now, j, d, ahead[j.Service]); refused {
 			verdicts = append(verdicts, v)
 			continue
 		}
@@ -220,12 +234,13 @@
 	list := slices.Clone(p.waiting)
 	sent := make(map[cleat.WorkspaceID]int)
 	for _, j := range list {
+		j.late = p.late(now, j)
 		if _, ok := sent[j.Workspace]; !ok {
 			sent[j.Workspace] = p.uses.admitted(now, j.Workspace)
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *Job) int {
-		if late := compareBool(p.late(now, a), p.late(now, b)); late != 0 {
+		if late := compareBool(a.late, b.late); late != 0 {
 			return late
 		}
 		if d := sent[a.Workspace] - sent[b.Workspace]; d != 0 {
@@ -251,24 +266,32 @@
 
 // late reports whether a job can no longer be on time at an idle upstream.
 func (p *Planner) late(now time.Time, j *Job) bool {
-	return now.Add(p.idleWait(j) + p.cfg.Margin).After(j.Target)
+	return now.Add(p.idleWait(now, j) + p.cfg.Margin).After(j.Target)
 }
 
-// idleWait is the time to read a job's prompt at the fastest upstream of the service.
-func (p *Planner) idleWait(j *Job) time.Duration {
-	best := time.Duration(-1)
+// idleWait is the time to read a job's prompt at the fastest upstream of the
+// service. It is worked out anew at intervals, since many jobs may wait.
+func (p *Planner) idleWait(now time.Time, j *Job) time.Duration {
+	if now.Sub(j.idleAt) < idleInterval {
+		return j.idle
+	}
+	j.idleAt, j.idle = now, 0
+	if p.engines[j.Service] == nil {
+		return 0
+	}
+	best := math.MaxFloat64
 	for _, u := range p.services[j.Service] {
-		if u.engine == nil {
-			return 0
-		}
-		w := time.Duration(float64(j.Prompt-u.cached(j.Parts))/u.speed) * time.Millisecond
-		if best < 0 || w < best {
-			best = w
-		}
+		best = min(best, float64(j.Prompt-u.cached(j.Parts))/u.speed)
 	}
-	return max(0, best)
+	if best < math.MaxFloat64 {
+		j.idle = time.Duration(max(0, best)) * time.Millisecond
+	}
+	return j.idle
 }
 
+// idleInterval is how long an idleWait is taken to hold.
+const idleInterval = 250 * time.Millisecond
+
 func (p *Planner) send(now time.Time, j *Job, u *upstream) Verdict {
 	for _, part := range j.Parts {
 		if u.cache != nil && !u.cache.has(part.Digest) {
@@ -283,9 +306,7 @@
 
 // Tick drops what other entries said when they fell silent.
 func (p *Planner) Tick(now time.Time) {
-	if p.expire(now) {
-		p.sumPeers()
-	}
+	p.expire(now)
 }
 
 // Cancel forgets a job that waits, because its caller left.
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -34,53 +34,79 @@
 	if m.Seq <= q.seq && now.Sub(q.heard) < peerMaxAge {
 		return
 	}
+	p.addPeer(q, -1)
 	*q = peer{seq: m.Seq, heard: now, loads: m.Loads, uses: m.Uses}
+	p.addPeer(q, 1)
 	for _, c := range m.Parts {
 		if u, ok := p.upstreams[c.Upstream]; ok && u.cache != nil {
 			u.cache.use(c.Part, int(c.Tokens))
 		}
 	}
 	p.expire(now)
-	p.sumPeers()
 }
 
-// expire drops entries that were not heard for long and reports whether there were any.
-func (p *Planner) expire(now time.Time) bool {
-	n := len(p.peers)
+// expire drops entries that were not heard for long.
+func (p *Planner) expire(now time.Time) {
 	for id, q := range p.peers {
 		if now.Sub(q.heard) >= peerMaxAge {
+			p.addPeer(q, -1)
 			delete(p.peers, id)
 		}
 	}
-	return len(p.peers) < n
 }
 
-// sumPeers adds up what the other entries have at each upstream and for each workspace.
+// sumPeers adds up anew what the other entries have at each upstream, after the
+// upstreams changed.
 func (p *Planner) sumPeers() {
 	for _, u := range p.upstreams {
-		u.peers = cleat.UpstreamLoad{}
+		u.peers = peerLoad{}
 	}
 	for _, r := range p.uses.rows {
-		r.peers = cleat.WorkspaceUse{}
+		r.peers = peerUse{}
 	}
 	for _, q := range p.peers {
-		for _, l := range q.loads {
-			if u, ok := p.upstreams[l.Upstream]; ok {
-				u.peers.Prefill += l.Prefill
-				u.peers.Running += l.Running
-				u.peers.Memory += l.Memory
-				u.peers.Read += l.Read
-				u.peers.Pace = max(u.peers.Pace, l.Pace)
-			}
+		p.addPeer(q, 1)
+	}
+}
+
+// addPeer adds an entry's report to the sums, or takes it out with sign -1.
+func (p *Planner) addPeer(q *peer, sign int) {
+	for _, l := range q.loads {
+		if u, ok := p.upstreams[l.Upstream]; ok {
+			u.peers.add(l, sign)
 		}
-		for _, w := range q.uses {
-			r, ok := p.uses.rows[w.Workspace]
-			if !ok {
-				r = &use{}
-				p.uses.rows[w.Workspace] = r
-			}
-			r.peers.Asked += w.Asked
-			r.peers.Admitted += w.Admitted
+	}
+	for _, w := range q.uses {
+		r, ok := p.uses.rows[w.Workspace]
+		if !ok {
+			r = &use{}
+			p.uses.rows[w.Workspace] = r
 		}
+		r.peers.asked += sign * int(w.Asked)
+		r.peers.admitted += sign * int(w.Admitted)
+	}
+}
+
+// peerLoad is the sum of what other entries have at an upstream.
+type peerLoad struct {
+	prefill, running, memory, read int
+	pace                           float64 // The highest heard lately; it falls between reports.
+}
+
+// paceDecay is how much of the highest pace is kept with each report that names a lower one.
+const paceDecay = 0.8
+
+func (s *peerLoad) add(l cleat.UpstreamLoad, sign int) {
+	s.prefill += sign * int(l.Prefill)
+	s.running += sign * int(l.Running)
+	s.memory += sign * int(l.Memory)
+	s.read += sign * int(l.Read)
+	if sign > 0 {
+		s.pace = max(float64(l.Pace), paceDecay*s.pace)
 	}
 }
+
+// peerUse is the sum of what a workspace asked for and was sent at other entries.
+type peerUse struct {
+	asked, admitted int
+}
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -57,7 +57,7 @@
 
 	unread  int // Prompt tokens of own jobs without a first event.
 	memory  int // Tokens of own jobs.
-	peers   cleat.UpstreamLoad
+	peers   peerLoad
 	speed   float64 // Tokens/ms.
 	rate    float64 // Tokens/s that its streams get; zero until seen.
 	read    window  // Prompt tokens sent to be read.
@@ -66,13 +66,16 @@
 	failing float64 // Failure rate, 0 to 1, when it was last moved.
 	movedAt time.Time
 	sentAt  time.Time // When it was sent a job last.
+	hash    uint64    // Of its name.
+	lane    float64   // See laneOf.
 
 	strikes    int // Failures to reach it in a row.
 	avoidUntil time.Time
 }
 
 func newUpstream(r cleat.UpstreamRecord, speed float64) *upstream {
-	return &upstream{record: r, jobs: make(map[uint64]*Job), speed: speed}
+	h := hashOf(string(r.Upstream))
+	return &upstream{record: r, jobs: make(map[uint64]*Job), speed: speed, hash: h, lane: laneOf(h)}
 }
 
 // setEngine takes what the service's manifest says of its engines.
@@ -89,9 +92,9 @@
 	u.cache.limit = limit
 }
 
-func (u *upstream) running() int { return len(u.jobs) + int(u.peers.Running) }
+func (u *upstream) running() int { return len(u.jobs) + u.peers.running }
 
-func (u *upstream) backlog() int { return u.unread + int(u.peers.Prefill) }
+func (u *upstream) backlog() int { return u.unread + u.peers.prefill }
 
 // cached returns how many tokens of a prompt the upstream is believed to keep.
 func (u *upstream) cached(parts []cleat.PromptPart) int {
@@ -172,7 +175,7 @@
 // needed returns the tokens/s that all but the most urgent few of the streams
 // here need to end in time.
 func (u *upstream) needed(now time.Time) float64 {
-	return max(float64(u.peers.Pace), u.ownPace(now))
+	return max(u.peers.pace, u.ownPace(now))
 }
 
 // ownPace is needed for this entry's streams; it is worked out anew at intervals.
@@ -195,7 +198,7 @@
 // duty returns the part of the time that the upstream spends on reading prompts,
 // were it sent so many more tokens.
 func (u *upstream) duty(now time.Time, unread int) float64 {
-	tokens := u.read.sum(now) + int(u.peers.Read) + unread
+	tokens := u.read.sum(now) + u.peers.read + unread
 	return float64(tokens) / (u.speed * float64(readWindow/time.Millisecond))
 }
 
--- a/policy/place/use.go
+++ b/policy/place/use.go
@@ -38,8 +38,8 @@
 // use is what one workspace asked for and was sent over a sliding window.
 type use struct {
 	asked, admitted [useBuckets]int
-	peers           cleat.WorkspaceUse // Sum over the other entries.
-	newest          int64              // Number of the newest bucket.
+	peers           peerUse
+	newest          int64 // Number of the newest bucket.
 }
 
 func (u *use) advance(bucket int64) {
@@ -93,7 +93,7 @@
 // admitted returns what the whole fleet sent for a workspace lately.
 func (u *uses) admitted(now time.Time, w cleat.WorkspaceID) int {
 	r := u.row(now, w)
-	return sum(r.admitted) + int(r.peers.Admitted)
+	return sum(r.admitted) + r.peers.admitted
 }
 
 // report returns this entry's own numbers.
@@ -131,7 +131,7 @@
 	asked := make([]float64, 0, len(u.rows))
 	for w := range u.rows {
 		r := u.row(now, w)
-		if n := sum(r.asked) + int(r.peers.Asked); n > 0 {
+		if n := sum(r.asked) + r.peers.asked; n > 0 {
 			asked = append(asked, float64(n))
 		}
 	}
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -22,14 +22,21 @@
 	r.mu.Lock()
 	r.latest = &manifestBody{version: version, body: body}
 	r.mu.Unlock()
-	r.kick()
+	select {
+	case r.fresh <- struct{}{}:
+	default:
+	}
 }
 
 // manifestLoop puts the newest manifest in force. While many come, those that
 // were overtaken are left out, so that decoding takes a small part of the time.
 func (r *Role) manifestLoop(ctx context.Context) error {
-	const poll = 20 * time.Millisecond
-	for sleep(ctx, poll) {
+	for {
+		select {
+		case <-r.fresh:
+		case <-ctx.Done():
+			return nil
+		}
 		r.mu.Lock()
 		m := r.latest
 		r.latest = nil
@@ -43,7 +50,6 @@
 			return nil
 		}
 	}
-	return nil
 }
 
 func (r *Role) enforce(m *manifestBody) {
--- a/role/proxy/mesh.go
+++ b/role/proxy/mesh.go
@@ -99,7 +99,7 @@
 
 // reportPeers is how many entries hear each report without slowing the reports
 // down: with more the interval grows, so that their traffic stays bounded.
-const reportPeers = 8
+const reportPeers = 4
 
 // reportLoop tells other entries what this one sent where.
 func (r *Role) reportLoop(ctx context.Context) error {
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -58,6 +58,7 @@
 	table     atomic.Pointer[cleat.RouteTable]
 	held      atomic.Int64  // Bytes of bodies in memory.
 	active    atomic.Int64  // Requests being served.
+	fresh     chan struct{} // Tells of a manifest to put in force.
 	wake      chan struct{} // Asks for a look at the waiting jobs.
 
 	mu      sync.Mutex
@@ -99,6 +100,7 @@
 		metrics: telem.NewMetrics(cleat.RoleEntry, logger),
 		ctx:     ctx, cancel: cancel,
 		drained: make(chan struct{}),
+		fresh:   make(chan struct{}, 1),
 		wake:    make(chan struct{}, 1),
 		planner: place.New(cfg.Place),
 		roster:  roster.New(),
--- a/role/proxy/wait.go
+++ b/role/proxy/wait.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	dispatchPause = 3 * time.Millisecond  // Between looks at the waiting jobs, at least.
-	dispatchTick  = 25 * time.Millisecond // Between looks without a cause.
+	dispatchPause = 15 * time.Millisecond  // Between looks at the waiting jobs, at least.
+	dispatchShare = 40                     // Pauses are so many times as long as a look took.
+	dispatchTick  = 100 * time.Millisecond // Between looks without a cause.
 )
 
 // kick asks for a look at the waiting jobs.
@@ -32,14 +33,16 @@
 			return nil
 		}
 		r.mu.Lock()
+		began := r.clock.Now()
 		for _, v := range r.planner.Dispatch(r.clock.Now()) {
 			if c, ok := r.waiters[v.Job.ID]; ok {
 				delete(r.waiters, v.Job.ID)
 				c <- v
 			}
 		}
+		took := r.clock.Now().Sub(began)
 		r.mu.Unlock()
-		if !sleep(ctx, dispatchPause) {
+		if !sleep(ctx, max(dispatchPause, dispatchShare*took)) {
 			return nil
 		}
 	}
@@ -87,8 +90,8 @@
 
 func (r *Role) begin(j *place.Job) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.planner.Begin(r.clock.Now(), j)
-	r.mu.Unlock()
 	r.kickIfWaiting()
 }
 
@@ -100,16 +103,14 @@
 
 func (r *Role) end(j *place.Job, o place.Outcome) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.planner.End(r.clock.Now(), j, o)
-	r.mu.Unlock()
 	r.kickIfWaiting()
 }
 
+// kickIfWaiting asks for a look when there is something to look at.
 func (r *Role) kickIfWaiting() {
-	r.mu.Lock()
-	waiting := r.planner.Waiting()
-	r.mu.Unlock()
-	if waiting > 0 {
+	if r.planner.Waiting() > 0 {
 		r.kick()
 	}
 }
