--- /dev/null
+++ b/role/ctrl/autopilot_test.go
@@ -0,0 +1,69 @@
+package ctrl_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/role/ctrl"
+	"marigoldcleat.example/cleat/state/quorum"
+)
+
+var _ = Describe("PlanMembers", func() {
+	const silentAfter = 2 * time.Second
+
+	// status is the view of a leader "a" of voters and learners; quiet ones are silent.
+	status := func(voters, learners, quiet []string) *quorum.Status {
+		s := &quorum.Status{Instance: "a", Cluster: "x", Members: []quorum.Member{{Instance: "a", Replica: "ra"}}}
+		add := func(id string, learner bool) {
+			m := quorum.Member{Instance: cleat.InstanceID(id), Replica: quorum.ReplicaID("r" + id), Learner: learner}
+			f := quorum.Follower{Member: m}
+			for _, q := range quiet {
+				if q == id {
+					f.Quiet = silentAfter
+				}
+			}
+			s.Members = append(s.Members, m)
+			s.Followers = append(s.Followers, f)
+		}
+		for _, id := range voters {
+			add(id, false)
+		}
+		for _, id := range learners {
+			add(id, true)
+		}
+		return s
+	}
+	candidate := func(id, replica, cluster string) quorum.Candidate {
+		return quorum.Candidate{Instance: cleat.InstanceID(id), Replica: quorum.ReplicaID(replica), Cluster: quorum.ClusterID(cluster)}
+	}
+
+	cases := map[string]struct {
+		status     *quorum.Status
+		candidates []quorum.Candidate
+		action     cleat.ReplicaAction // Empty when nothing is to be done.
+		instance   cleat.InstanceID
+	}{
+		"all is well":                             {status([]string{"b", "c"}, nil, nil), nil, "", ""},
+		"one of three is silent":                  {status([]string{"b", "c"}, nil, []string{"c"}), nil, "", ""},
+		"one of three came back without its data": {status([]string{"b", "c"}, nil, nil), []quorum.Candidate{candidate("c", "new", "")}, cleat.ReplicaReplace, "c"},
+		"a new instance comes":                    {status([]string{"b", "c"}, nil, nil), []quorum.Candidate{candidate("d", "rd", "")}, cleat.ReplicaAdd, "d"},
+		"a member announces itself again":         {status([]string{"b", "c"}, nil, nil), []quorum.Candidate{candidate("c", "rc", "x")}, "", ""},
+		"an instance of another fleet comes":      {status([]string{"b", "c"}, nil, nil), []quorum.Candidate{candidate("d", "rd", "y")}, "", ""},
+		"one that was removed comes back":         {status([]string{"b", "c"}, nil, nil), []quorum.Candidate{candidate("d", "rd", "x")}, cleat.ReplicaAdd, "d"},
+		"one of four is silent":                   {status([]string{"b", "c", "d"}, nil, []string{"c"}), nil, cleat.ReplicaRemove, "c"},
+		"one of five is silent":                   {status([]string{"b", "c", "d", "e"}, nil, []string{"c"}), nil, "", ""},
+		"a learner has no vote yet":               {status([]string{"b", "c"}, []string{"d"}, nil), nil, cleat.ReplicaReplace, "d"},
+		"a learner fell silent":                   {status([]string{"b", "c"}, []string{"d"}, []string{"d"}), nil, cleat.ReplicaRemove, "d"},
+	}
+	for name, c := range cases {
+		It("decides when "+name, func() {
+			c.status.Candidates = c.candidates
+			action, instance := ctrl.PlanMembers(c.status, silentAfter)
+			Expect(action).To(Equal(c.action))
+			Expect(instance).To(Equal(c.instance))
+		})
+	}
+})
--- /dev/null
+++ b/role/proxy/shed_test.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+)
+
+func TestShedPart(t *testing.T) {
+	cases := map[string]struct {
+		lag  time.Duration
+		part float64
+	}{
+		"work starts at once":         {0, 0},
+		"a lag that callers can bear": {lagBorne, 0},
+		"half of the way":             {(lagBorne + lagWorst) / 2, 0.5},
+		"the worst":                   {lagWorst, 1},
+		"beyond the worst":            {time.Minute, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := shedPart(c.lag); got != c.part {
+				t.Errorf("refuses %v of the requests, not %v", got, c.part)
+			}
+		})
+	}
+}
+
+func TestLastID(t *testing.T) {
+	cases := map[string]struct {
+		events, id string
+		ok         bool
+	}{
+		"one event":               {"id: 3\ndata: x\n\n", "3", true},
+		"several events":          {"id: 3\ndata: x\n\nid: 4\ndata: y\n\n", "4", true},
+		"the last one without":    {"id: 3\ndata: x\n\ndata: y\n\n", "3", true},
+		"none with an id":         {"data: x\n\n", "", false},
+		"an id after the data":    {"data: x\nid: 9\n\n", "9", true},
+		"data that looks like it": {"data: id: 7\n\n", "", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			id, ok := lastID([]byte(c.events))
+			if id != c.id || ok != c.ok {
+				t.Errorf("got %q, %v", id, ok)
+			}
+		})
+	}
+}
