--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -31,7 +31,8 @@
 // Budget holds the counts of one entry, for each service.
 type Budget struct {
 	cfg     Config
-	entries int // That share the slack.
+	entries int       // That share the slack.
+	epoch   time.Time // When the first bucket began.
 	rows    map[cleat.ServiceName]*counts
 }
 
@@ -49,7 +50,11 @@
 		c = &counts{}
 		b.rows[s] = c
 	}
-	bucket := now.UnixNano() / int64(b.cfg.Window/buckets)
+	if b.epoch.IsZero() {
+		b.epoch = now
+	}
+	// A difference of times does not move with the time of day.
+	bucket := int64(now.Sub(b.epoch) / (b.cfg.Window / buckets))
 	for n := max(c.newest+1, bucket-buckets); n <= bucket; n++ {
 		c.requests[n%(buckets+1)], c.repeats[n%(buckets+1)] = 0, 0
 	}
--- a/policy/place/use.go
+++ b/policy/place/use.go
@@ -12,10 +12,15 @@
 type window struct {
 	counts [useBuckets]int
 	newest int64
+	epoch  time.Time // When the first bucket began.
 }
 
 func (w *window) advance(now time.Time) {
-	bucket := now.UnixNano() / int64(readWindow/useBuckets)
+	if w.epoch.IsZero() {
+		w.epoch = now
+	}
+	// A difference of times does not move with the time of day.
+	bucket := int64(now.Sub(w.epoch) / (readWindow / useBuckets))
 	for n := max(w.newest+1, bucket-useBuckets+1); n <= bucket; n++ {
 		w.counts[n%useBuckets] = 0
 	}
@@ -60,6 +65,7 @@
 // uses accounts the workspaces' use of capacity.
 type uses struct {
 	window   time.Duration
+	epoch    time.Time // When the first bucket began.
 	rows     map[cleat.WorkspaceID]*use
 	capacity float64 // Units that all upstreams produce in a window; zero when not known.
 	level    float64 // The max-min share of a workspace that asks for more, at levelled.
@@ -76,7 +82,10 @@
 		r = &use{}
 		u.rows[w] = r
 	}
-	r.advance(now.UnixNano() / int64(u.window/useBuckets))
+	if u.epoch.IsZero() {
+		u.epoch = now
+	}
+	r.advance(int64(now.Sub(u.epoch) / (u.window / useBuckets)))
 	return r
 }
 
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -92,7 +92,11 @@
 	switch {
 	case info.NotRun:
 		x.finish(p, conn, resp)
-		x.role.end(x.job, place.OutcomeFull)
+		outcome := place.OutcomeFull
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			outcome = place.OutcomeUnreachable // Another upstream has the address.
+		}
+		x.role.end(x.job, outcome)
 		x.decide("not_run", "upstream", u.Upstream, "status", resp.StatusCode, "running", info.Running, "waiting", info.Waiting)
 		return resultNotRun, nil
 	case info.Encoded || (!info.Stamped && resp.StatusCode < http.StatusMultipleChoices):
--- a/role/proxy/conn.go
+++ b/role/proxy/conn.go
@@ -42,12 +42,22 @@
 	addr string
 	cfg  *Config
 
-	mu     sync.Mutex
-	idle   []*upConn // The one used last at the end.
-	closed bool
+	mu      sync.Mutex
+	idle    []*upConn // The one used last at the end.
+	maxIdle int
+	closed  bool
 }
 
-func newPool(addr string, cfg *Config) *pool { return &pool{addr: addr, cfg: cfg} }
+func newPool(addr string, cfg *Config) *pool {
+	return &pool{addr: addr, cfg: cfg, maxIdle: cfg.MaxIdle}
+}
+
+// setMaxIdle bounds the idle connections that are kept from now on.
+func (p *pool) setMaxIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = n
+}
 
 // get returns an idle connection that still stands, or a new one.
 func (p *pool) get(ctx context.Context, now time.Time) (*upConn, error) {
@@ -114,7 +124,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= p.cfg.MaxIdle {
+	if p.closed || len(p.idle) >= p.maxIdle {
 		c.close()
 		return
 	}
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -110,9 +110,27 @@
 		p = newPool(rec.Address, &r.cfg)
 		r.pools[rec.Upstream] = p
 	}
+	p.setMaxIdle(r.maxIdle(rec.Service))
 	return p
 }
 
+// idlePart is the part of the connections that an upstream accepts which all
+// entries together may keep idle.
+const idlePart = 0.5
+
+// maxIdle returns how many idle connections to an upstream of a service to keep.
+func (r *Role) maxIdle(s cleat.ServiceName) int {
+	t := r.table.Load()
+	if t == nil {
+		return r.cfg.MaxIdle
+	}
+	service, ok := t.ServiceByName(s)
+	if !ok || service.MaxConns == 0 {
+		return r.cfg.MaxIdle
+	}
+	return min(r.cfg.MaxIdle, max(1, int(idlePart*float64(service.MaxConns))/(1+len(r.entries))))
+}
+
 // sweepLoop closes idle connections and forgets silent peers.
 func (r *Role) sweepLoop(ctx context.Context) error {
 	for sleep(ctx, sweepInterval) {
