place: return sooner after a refusal for the share; long prompts get an objective; chance among plain upstreams

Cause: callers refused for their workspace's share were asked back after a second, by when their objective had passed, so most of what was served then was late; prompts too long for the objective went behind everything; entries chose the same plain upstream from reports a third of a second old.

--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -7,7 +7,7 @@
 	"marigoldcleat.example/cleat"
 )
 
-// plainQueue is how many requests may wait at a plain upstream beyond its slots.
+// plainQueue is how many requests may be at a plain upstream, in slots.
 const plainQueue = 2
 
 // choose returns the upstream to send a job to now, or nil.
@@ -59,7 +59,7 @@
 		penalty += p.cfg.AwayPenalty
 	}
 	if u.engine == nil {
-		return p.plainCost(u) + penalty, u.running() < u.record.Slots+plainQueue
+		return p.plainCost(now, j, u) + penalty, u.running() < plainQueue*u.record.Slots
 	}
 	cached := u.cached(j.Parts)
 	unread := max(0, j.Prompt-cached)
@@ -169,10 +169,20 @@
 }
 
 // plainCost spreads requests over the upstreams of a plain service by their load.
-func (p *Planner) plainCost(u *upstream) time.Duration {
-	return time.Duration(u.running()) * 100 * time.Millisecond / time.Duration(max(1, u.record.Slots))
+// The more entries there are, the less is known of what they do at the moment:
+// chance then keeps them from all choosing the same.
+func (p *Planner) plainCost(now time.Time, j *Job, u *upstream) time.Duration {
+	load := time.Duration(u.running()) * plainLoadCost / time.Duration(max(1, u.record.Slots))
+	chance := min(time.Duration(p.livePeers(now))*peerChance, maxChance)
+	return load + time.Duration(unit(u.hash^j.ID)*float64(chance))
 }
 
+const (
+	plainLoadCost = 100 * time.Millisecond // The cost of an upstream whose slots are all taken.
+	peerChance    = 3 * time.Millisecond   // For each entry that is heard.
+	maxChance     = 50 * time.Millisecond  // Three requests at an upstream of six slots.
+)
+
 // aheadOf returns the prompt tokens that would go before a new job.
 func (p *Planner) aheadOf(now time.Time, j *Job) int {
 	own := p.uses.admitted(now, j.Workspace)
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -143,6 +143,7 @@
 	if !p.mayWaitFor(j) {
 		return Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetry / 4}, true
 	}
+	p.allowLong(now, j)
 	if v, refused := p.limit(now, j); refused {
 		return v, true
 	}
@@ -158,6 +159,19 @@
 	return Verdict{}, false
 }
 
+// longAllowance is how many times the time to read it alone a prompt gets that is
+// too long to be on time.
+const longAllowance = 1.6
+
+// allowLong gives a prompt that no engine could read in time an objective of its
+// own: as late work it would go behind everything, and never go.
+func (p *Planner) allowLong(now time.Time, j *Job) {
+	idle := p.idleWait(now, j)
+	if j.Arrived.Add(idle + p.cfg.Margin).After(j.Target) {
+		j.Target = j.Arrived.Add(time.Duration(longAllowance*float64(idle)) + p.cfg.Margin)
+	}
+}
+
 // limit judges a job whose workspace was sent its share of the capacity: it goes
 // only where engines have time to spare and nothing waits for them.
 func (p *Planner) limit(now time.Time, j *Job) (Verdict, bool) {
@@ -169,7 +183,16 @@
 			return p.send(now, j, u), true
 		}
 	}
-	return Verdict{Job: j, Reason: ReasonShare, RetryAfter: p.cfg.UseWindow / 4}, true
+	return Verdict{Job: j, Reason: ReasonShare, RetryAfter: p.shareRetry(j)}, true
+}
+
+// minShareRetry and maxShareRetry bound when a caller refused for its workspace's
+// share returns: soon enough to be on time still, spread so that callers don't
+// return together.
+const minShareRetry, maxShareRetry = 100 * time.Millisecond, 300 * time.Millisecond
+
+func (p *Planner) shareRetry(j *Job) time.Duration {
+	return minShareRetry + time.Duration(unit(j.ID)*float64(maxShareRetry-minShareRetry))
 }
 
 // spareShare bounds what a workspace is sent in all while others want more than
--- a/role/proxy/wait.go
+++ b/role/proxy/wait.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	dispatchPause = 15 * time.Millisecond  // Between looks at the waiting jobs, at least.
-	dispatchShare = 40                     // Pauses are so many times as long as a look took.
-	dispatchTick  = 100 * time.Millisecond // Between looks without a cause.
+	dispatchPause = 15 * time.Millisecond // Between looks at the waiting jobs, at least.
+	dispatchShare = 40                    // Pauses are so many times as long as a look took.
+	dispatchTick  = 25 * time.Millisecond // Between looks without a cause.
 )
 
 // kick asks for a look at the waiting jobs.
@@ -33,6 +33,10 @@
 			return nil
 		}
 		r.mu.Lock()
+		if r.planner.Waiting() == 0 {
+			r.mu.Unlock()
+			continue
+		}
 		began := r.clock.Now()
 		for _, v := range r.planner.Dispatch(r.clock.Now()) {
 			if c, ok := r.waiters[v.Job.ID]; ok {
