--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -92,7 +92,7 @@
 	// maxDuty bounds the part of the time that an engine may read prompts.
 	maxDuty = 0.8
 	// spareDuty is the part up to which requests beyond a workspace's share are taken.
-	spareDuty = 0.45
+	spareDuty = 0.4
 	// othersWeight is how many times over the reading of a prompt counts beside the most urgent stream.
 	othersWeight = 2
 	// paceWeight scales how far urgent streams and long prompts keep apart.
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -179,7 +179,7 @@
 		return Verdict{}, false
 	}
 	if !p.blockedBy(j) && !p.uses.exceeds(now, j.Workspace, spareShare) {
-		if u := p.choose(now, j); u != nil && u.duty(now, min(j.Prompt-u.cached(j.Parts), int(u.speed*dutyStep))) <= spareDuty {
+		if u := p.choose(now, j); u != nil && u.duty(now, 0) <= spareDuty {
 			return p.send(now, j, u), true
 		}
 	}
