--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -77,7 +77,7 @@
 // again decides whether the request goes to another upstream.
 func (x *exchange) again(res result, tried cleat.UpstreamRecord) bool {
 	if x.ctx.Err() != nil || x.attempts >= x.route.MaxAttempts {
-		return x.ctx.Err() == nil && x.attempts == 0
+		return false
 	}
 	if res != resultNotRun && !x.route.Idempotent() {
 		return false
