--- a/role/proxy/doc.go
+++ b/role/proxy/doc.go
@@ -4,5 +4,5 @@
 // report of theirs.
 //
 // Lock order: Role.mu guards the planner, the roster and the waiting callers; a
-// pool's mutex is taken after it or alone, and no I/O happens under either.
+// pool's mutex is taken after it or alone; nothing waits for the network under either.
 package proxy
