entry: an HTTP/1.1 server of its own for callers

A refusal took 121 us in net/http's server: a goroutine with a growing stack, a second one that watches the caller, contexts, four socket options for keep-alive.

link/httpd parses with net/http, reuses goroutines with their stacks and buffers, and watches for the caller's leaving only once something runs or waits; keep-alive probes are off, idle connections and answers have time limits.

--- /dev/null
+++ b/link/httpd/response.go
@@ -0,0 +1,235 @@
+package httpd
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
+)
+
+// Response is the answer to one request.
+type Response struct {
+	conn    *conn
+	req     *http.Request
+	header  http.Header
+	status  int   // Zero until the head is written.
+	length  int64 // Of the body, as its head states; negative when it doesn't.
+	written int64
+	chunked bool
+	bare    bool // The answer has no body, whatever the handler writes.
+	last    bool // The connection ends after it.
+	err     error
+	watched chan struct{} // Closed when the watch for the caller's leaving ends; nil without one.
+}
+
+var (
+	_ http.ResponseWriter = (*Response)(nil)
+	_ http.Flusher        = (*Response)(nil)
+)
+
+func (w *Response) begin(req *http.Request) {
+	clear(w.header)
+	*w = Response{conn: w.conn, header: w.header, req: req, last: req.Close || !req.ProtoAtLeast(1, 1)}
+}
+
+// Header returns the fields of the head.
+func (w *Response) Header() http.Header { return w.header }
+
+// SetReadDeadline bounds the reading of the request's body.
+func (w *Response) SetReadDeadline(t time.Time) error { return w.conn.net.SetReadDeadline(t) }
+
+// SetWriteDeadline bounds the writing of the answer, and of later ones on the
+// connection until it is set again.
+func (w *Response) SetWriteDeadline(t time.Time) error { return w.conn.net.SetWriteDeadline(t) }
+
+// WriteHeader writes the head, once.
+func (w *Response) WriteHeader(status int) {
+	if w.status != 0 {
+		w.conn.server.log.Error("a second head was not written", "status", status, "first", w.status)
+		return
+	}
+	w.status = status
+	w.frame()
+	bw := w.conn.bw
+	var line [128]byte
+	b := append(line[:0], "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(append(append(b, ' '), http.StatusText(status)...), "\r\n"...)
+	if _, ok := w.header["Date"]; !ok {
+		b = append(b, "Date: "...)
+		b = append(time.Now().UTC().AppendFormat(b, http.TimeFormat), "\r\n"...)
+	}
+	_, err := bw.Write(b)
+	w.note(err)
+	w.note(w.header.Write(bw))
+	_, err = bw.WriteString("\r\n")
+	w.note(err)
+}
+
+// frame decides how the end of the body is told.
+func (w *Response) frame() {
+	h := w.header
+	h.Del("Transfer-Encoding")
+	w.length = -1
+	if n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64); err == nil && n >= 0 {
+		w.length = n
+	} else {
+		h.Del("Content-Length")
+	}
+	empty := w.status < http.StatusOK || w.status == http.StatusNoContent
+	w.bare = empty || w.status == http.StatusNotModified || w.req.Method == http.MethodHead
+	switch {
+	case empty:
+		h.Del("Content-Length")
+	case w.bare || w.length >= 0:
+	case w.req.ProtoAtLeast(1, 1):
+		w.chunked = true
+		h["Transfer-Encoding"] = []string{"chunked"}
+	default:
+		w.last = true
+	}
+	if h.Get("Connection") == "close" || w.conn.server.closing.Load() {
+		w.last = true
+	}
+	if w.last {
+		h["Connection"] = []string{"close"}
+	}
+}
+
+func (w *Response) note(err error) {
+	if w.err == nil {
+		w.err = err
+	}
+}
+
+// Write writes a part of the body; with no head written yet, the status is 200.
+func (w *Response) Write(b []byte) (int, error) {
+	if w.status == 0 {
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.err != nil {
+		return 0, w.err
+	}
+	if w.bare || len(b) == 0 {
+		return len(b), nil
+	}
+	if w.length >= 0 && w.written+int64(len(b)) > w.length {
+		return 0, http.ErrContentLength
+	}
+	w.written += int64(len(b))
+	bw := w.conn.bw
+	if !w.chunked {
+		n, err := bw.Write(b)
+		w.note(err)
+		return n, err
+	}
+	var head [20]byte
+	_, err := bw.Write(append(strconv.AppendInt(head[:0], int64(len(b)), 16), "\r\n"...))
+	w.note(err)
+	n, err := bw.Write(b)
+	w.note(err)
+	_, err = bw.WriteString("\r\n")
+	w.note(err)
+	return n, w.err
+}
+
+// FlushError sends what was written.
+func (w *Response) FlushError() error {
+	if w.status == 0 {
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.err == nil {
+		w.err = w.conn.bw.Flush()
+	}
+	return w.err
+}
+
+// Flush sends what was written; FlushError also returns the error.
+func (w *Response) Flush() { _ = w.FlushError() }
+
+// end completes the answer.
+func (w *Response) end() error {
+	if w.status == 0 {
+		w.header["Content-Length"] = []string{"0"}
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.chunked && !w.bare {
+		_, err := w.conn.bw.WriteString("0\r\n\r\n")
+		w.note(err)
+	}
+	if err := w.FlushError(); err != nil {
+		return err
+	}
+	if !w.bare && w.length >= 0 && w.written < w.length {
+		return trace.BadParameter("Response.end: the body has %d bytes of %d", w.written, w.length)
+	}
+	return nil
+}
+
+// breakOff ends the connection so that the answer doesn't look complete: one
+// whose end is the connection's needs a reset.
+func (w *Response) breakOff() {
+	if w.status != 0 && !w.chunked && w.length < 0 {
+		if c, ok := w.conn.net.(*net.TCPConn); ok {
+			// The connection is closed next anyway.
+			_ = c.SetLinger(0)
+		}
+	}
+}
+
+// Watch calls gone, from another goroutine, if the caller closes its connection
+// before the handler returns. The body must have been read. A caller that sends
+// its next request early is not watched.
+func (w *Response) Watch(gone func()) {
+	c := w.conn
+	sc, ok := c.net.(syscall.Conn)
+	if !ok || w.watched != nil || c.br.Buffered() > 0 {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		gone()
+		return
+	}
+	w.watched = make(chan struct{})
+	go watch(raw, gone, w.watched)
+}
+
+func watch(raw syscall.RawConn, gone func(), done chan<- struct{}) {
+	defer close(done)
+	left := false
+	err := raw.Read(func(fd uintptr) bool {
+		n, err := peek(fd)
+		if errors.Is(err, unix.EAGAIN) {
+			return false
+		}
+		left = err != nil || n == 0
+		return true
+	})
+	// The deadline is how unwatch ends it.
+	if left || (err != nil && !isTimeout(err)) {
+		gone()
+	}
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// unwatch ends the watch, if there is one.
+func (w *Response) unwatch() {
+	if w.watched == nil {
+		return
+	}
+	if err := w.conn.net.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		w.conn.close()
+	}
+	<-w.watched
+	w.watched = nil
+}
--- /dev/null
+++ b/link/httpd/server.go
@@ -0,0 +1,208 @@
+package httpd
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Defaults of Config.
+const (
+	DefaultHeadTimeout   = 10 * time.Second
+	DefaultIdleTimeout   = 20 * time.Second
+	DefaultLingerTimeout = 500 * time.Millisecond // A few round trips to distant callers.
+	DefaultMaxHeadBytes  = 64 << 10
+	DefaultMaxDrainBytes = 256 << 10
+)
+
+// Config sets up a Server.
+type Config struct {
+	HeadTimeout   time.Duration // From the first byte of a request to the end of its head.
+	IdleTimeout   time.Duration // For which a connection stays open without a request.
+	LingerTimeout time.Duration // For which the rest of an unread body is read before the connection is closed.
+	MaxHeadBytes  int64         // Of a request's head.
+	MaxDrainBytes int64         // Of an unread body, up to which the connection is kept.
+}
+
+// Defaults sets what was left out.
+func (c *Config) Defaults() {
+	cleat.SetDefault(&c.HeadTimeout, DefaultHeadTimeout)
+	cleat.SetDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	cleat.SetDefault(&c.LingerTimeout, DefaultLingerTimeout)
+	cleat.SetDefault(&c.MaxHeadBytes, int64(DefaultMaxHeadBytes))
+	cleat.SetDefault(&c.MaxDrainBytes, int64(DefaultMaxDrainBytes))
+}
+
+// Validate reports settings that make no sense.
+func (c *Config) Validate() error {
+	if c.HeadTimeout < 0 || c.IdleTimeout < 0 || c.LingerTimeout < 0 || c.MaxHeadBytes < 0 || c.MaxDrainBytes < 0 {
+		return trace.BadParameter("httpd.Config: a timeout or bound is negative")
+	}
+	return nil
+}
+
+// Handler answers one request. Neither w nor the request may be used after it returns.
+// It may panic with http.ErrAbortHandler to break the answer off.
+type Handler func(w *Response, req *http.Request)
+
+// maxIdleWorkers bounds the goroutines that wait for a further connection.
+const maxIdleWorkers = 64
+
+// Server accepts connections and serves the requests on them.
+type Server struct {
+	cfg     Config
+	handler Handler
+	log     *log.Logger
+	next    chan net.Conn // Accepted, for a worker that waits.
+	waiting atomic.Int64  // Workers that wait.
+	closing atomic.Bool
+
+	mu        sync.Mutex
+	listeners []net.Listener
+	conns     map[*conn]struct{}
+	ended     chan struct{} // Told of each connection's end while closing.
+}
+
+// New returns a server that passes requests to handler.
+func New(cfg Config, handler Handler, logger *log.Logger) (*Server, error) {
+	cfg.Defaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return &Server{
+		cfg: cfg, handler: handler, log: logger, next: make(chan net.Conn),
+		conns: make(map[*conn]struct{}), ended: make(chan struct{}, 1),
+	}, nil
+}
+
+// Listen binds an address for Serve, as host:port. Accepted connections send no
+// keep-alive probes: idle ones and answers have time limits anyway.
+func Listen(address string) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAlive: -1}
+	l, err := lc.Listen(context.Background(), "tcp", address)
+	return l, trace.Wrap(err, "httpd.Listen")
+}
+
+// Conns returns how many connections are open.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Bounds of the pause after a failure to accept, such as a lack of descriptors.
+const minAcceptPause, maxAcceptPause = 5 * time.Millisecond, time.Second
+
+// Serve accepts connections until the listener is closed; it returns nil when
+// Shutdown closed it.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	pause := time.Duration(0)
+	for {
+		c, err := l.Accept()
+		var netErr net.Error
+		switch {
+		case err == nil:
+			pause = 0
+			s.start(c)
+		case s.closing.Load():
+			return nil
+		case errors.As(err, &netErr) && !errors.Is(err, net.ErrClosed):
+			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+			s.log.Warn("connection not accepted", "err", err, "retry_in", pause)
+			time.Sleep(pause)
+		default:
+			return trace.Wrap(err, "Server.Serve")
+		}
+	}
+}
+
+// start hands a connection to a waiting worker, or to a new one.
+func (s *Server) start(c net.Conn) {
+	select {
+	case s.next <- c:
+	default:
+		go s.work(c)
+	}
+}
+
+// work serves connections one after another, with the same stack and buffers.
+func (s *Server) work(c net.Conn) {
+	w := newConn(s)
+	for {
+		w.reset(c)
+		s.add(w)
+		w.serve()
+		s.remove(w)
+		if s.waiting.Add(1) > maxIdleWorkers {
+			s.waiting.Add(-1)
+			return
+		}
+		c = <-s.next
+		s.waiting.Add(-1)
+	}
+}
+
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if s.closing.Load() {
+		select {
+		case s.ended <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Shutdown stops accepting, closes connections without a request, and waits
+// for the others until ctx ends; then it closes them too and returns ctx's error.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.closing.Store(true)
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			s.log.Warn("listener not closed", "err", err)
+		}
+	}
+	s.mu.Unlock()
+	for s.closeConns(false) > 0 {
+		select {
+		case <-s.ended:
+		case <-ctx.Done():
+			s.closeConns(true)
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// closeConns closes the connections without a request, or all, and returns how
+// many are still open.
+func (s *Server) closeConns(all bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if all || c.idle.Load() {
+			c.close()
+		}
+	}
+	return len(s.conns)
+}
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/httpd"
 	"marigoldcleat.example/cleat/link/wire"
 	"marigoldcleat.example/cleat/policy/budget"
 	"marigoldcleat.example/cleat/policy/place"
@@ -41,7 +42,7 @@
 	decisions *telem.Decisions
 	self      cleat.Peer
 	metrics   *telem.Metrics
-	measures  measures
+	measures  *measures
 	health    *telem.Health
 	control   *node.Client
 	links     *wire.Server
@@ -49,7 +50,7 @@
 	callers   net.Listener
 	http      net.Listener
 	extra     net.Listener // Nil without a further API.
-	server    *http.Server
+	server    *httpd.Server
 	ctx       context.Context // Done when the role ends.
 	cancel    context.CancelFunc
 	drained   chan struct{} // Closed when a shutdown is asked for.
@@ -58,7 +59,6 @@
 	table     atomic.Pointer[cleat.RouteTable]
 	held      atomic.Int64  // Bytes of bodies in memory.
 	active    atomic.Int64  // Requests being served.
-	conns     atomic.Int64  // Callers' connections.
 	lag       atomic.Int64  // By how much work starts late, in nanoseconds.
 	fresh     chan struct{} // Tells of a manifest to put in force.
 	wake      chan struct{} // Asks for a look at the waiting jobs.
@@ -112,6 +112,11 @@
 		entries: make(map[cleat.InstanceID]*entryLink),
 	}
 	r.measures = newMeasures(r.metrics.Scope())
+	var err error
+	if r.server, err = httpd.New(httpd.Config{}, r.serve, logger); err != nil {
+		cancel()
+		return nil, trace.Wrap(err, "Open")
+	}
 	r.health = telem.NewHealth(r.ready)
 	if err := r.bind(); err != nil {
 		cancel()
@@ -125,7 +130,7 @@
 
 func (r *Role) bind() error {
 	var err error
-	if r.callers, err = net.Listen("tcp", r.cfg.Callers); err != nil {
+	if r.callers, err = httpd.Listen(r.cfg.Callers); err != nil {
 		return trace.Wrap(err)
 	}
 	if r.http, err = net.Listen("tcp", r.cfg.HTTP); err != nil {
@@ -183,7 +188,6 @@
 		r.mesh.Close()
 		r.stop(r.links.Shutdown)
 	})
-	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: callerHeaderBytes, ConnState: r.countConn}
 	g.Add(r.serveCallers, func(error) { r.stop(r.server.Shutdown) })
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
@@ -196,20 +200,11 @@
 	return trace.Wrap(g.Run(), "Role.Run")
 }
 
-func (r *Role) countConn(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		r.conns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		r.conns.Add(-1)
-	}
-}
-
 // serveCallers returns when the role ends, not when a shutdown closes the
 // listener: requests may still run then.
 func (r *Role) serveCallers() error {
-	if err := serveHTTP(r.server, r.callers); err != nil {
-		return err
+	if err := r.server.Serve(r.callers); err != nil {
+		return trace.Wrap(err)
 	}
 	<-r.ctx.Done()
 	return nil
@@ -223,10 +218,14 @@
 }
 
 func (r *Role) addHTTP(g *run.Group, l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: callerHeaderTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: apiHeaderTimeout}
 	g.Add(func() error { return serveHTTP(s, l) }, func(error) { r.stop(s.Shutdown) })
 }
 
+// apiHeaderTimeout bounds the reading of a request's head on the addresses for
+// health, metrics and the further API.
+const apiHeaderTimeout = 10 * time.Second
+
 // stopTimeout bounds how long a server's end is waited for once the role ends.
 const stopTimeout = 100 * time.Millisecond
 
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -28,10 +28,16 @@
 	x.role.count(x.service)
 	x.job = x.newJob()
 	for {
-		v, ok := x.role.submit(x.ctx, x.job)
-		if !ok {
-			x.ended()
-			return
+		v, waits := x.role.submit(x.job)
+		if waits != nil || v.Placed() {
+			x.follow()
+		}
+		if waits != nil {
+			var ok bool
+			if v, ok = x.role.await(x.ctx, x.job, waits); !ok {
+				x.ended()
+				return
+			}
 		}
 		if !v.Placed() {
 			x.giveUp(string(v.Reason), v.RetryAfter)
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -13,25 +13,24 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/httpd"
 	"marigoldcleat.example/cleat/policy/place"
 )
 
-// Bounds on callers, above what manifests state: those are not known when a
-// connection is accepted.
-const (
-	callerHeaderTimeout = 10 * time.Second
-	callerIdleTimeout   = 20 * time.Second
-	callerHeaderBytes   = 64 << 10
-	// defaultTimeLeft is how long a caller waits that doesn't say.
-	defaultTimeLeft = time.Minute
-)
+// defaultTimeLeft is how long a caller waits that doesn't say.
+const defaultTimeLeft = time.Minute
+
+// writeSlack is how long after its deadline an answer may still be on its way to
+// the caller: late answers are delivered, but a caller that reads nothing is let go.
+const writeSlack = 10 * time.Second
 
 // exchange is one caller's request.
 type exchange struct {
 	role    *Role
-	w       http.ResponseWriter
+	w       *httpd.Response
 	r       *http.Request
-	ctx     context.Context // Ends when the caller leaves or its time is up.
+	ctx     context.Context // Ends when the caller leaves or its time is up; nil until follow.
+	cancel  context.CancelFunc
 	info    cleat.RequestInfo
 	table   *cleat.RouteTable
 	route   *cleat.Route
@@ -50,11 +49,11 @@
 }
 
 // serve answers one request.
-func (r *Role) serve(w http.ResponseWriter, req *http.Request) {
+func (r *Role) serve(w *httpd.Response, req *http.Request) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	x := &exchange{role: r, w: w, r: req, began: r.clock.Now(), info: r.cfg.Dialect.ReadRequest(req.Header)}
-	if r.draining.Load() || r.conns.Load() > int64(r.cfg.MaxKept) {
+	if r.draining.Load() || r.server.Conns() > r.cfg.MaxKept {
 		w.Header().Set("Connection", "close")
 	}
 	if !x.find() {
@@ -71,9 +70,11 @@
 		left = min(left, defaultTimeLeft)
 	}
 	x.until = x.began.Add(left)
-	ctx, cancel := context.WithDeadline(req.Context(), x.until)
-	defer cancel()
-	x.ctx = ctx
+	if err := w.SetWriteDeadline(x.until.Add(writeSlack)); err != nil {
+		x.decide("caller_gone", "err", err)
+		return
+	}
+	defer x.unfollow()
 	size, ok := x.readBody()
 	defer r.held.Add(-size)
 	if ok {
@@ -81,6 +82,21 @@
 	}
 }
 
+// follow begins to watch for the caller's leaving and the deadline. A request that
+// is refused at once does without.
+func (x *exchange) follow() {
+	if x.ctx == nil {
+		x.ctx, x.cancel = context.WithDeadline(x.role.ctx, x.until)
+		x.w.Watch(x.cancel)
+	}
+}
+
+func (x *exchange) unfollow() {
+	if x.cancel != nil {
+		x.cancel()
+	}
+}
+
 // find sets the route, the workspace and the service, or refuses the request.
 func (x *exchange) find() bool {
 	x.table = x.role.table.Load()
@@ -196,7 +212,7 @@
 }
 
 func (x *exchange) readAll(limit int64) ([]byte, error) {
-	if err := http.NewResponseController(x.w).SetReadDeadline(x.until); err != nil {
+	if err := x.w.SetReadDeadline(x.until); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if n := x.r.ContentLength; n > 0 {
@@ -213,17 +229,21 @@
 	if err != nil {
 		return err
 	}
-	return http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	return x.w.SetReadDeadline(time.Time{})
 }
 
 // decide logs a decision on the request.
 func (x *exchange) decide(kind string, keyvals ...any) {
 	now := x.role.clock.Now()
+	skipped, ok := x.role.decisions.Allow(now, kind)
+	if !ok {
+		return
+	}
 	fields := []any{"request", x.info.ID, "workspace", x.owner, "service", x.service, "after", now.Sub(x.began).Round(time.Millisecond)}
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "manifest", x.table.Version)
 	}
-	x.role.decisions.Log(now, kind, append(fields, keyvals...)...)
+	x.role.decisions.Write(kind, skipped, append(fields, keyvals...))
 }
 
 // overloadRetry is when a caller returns after a refusal for lack of memory.
--- a/role/proxy/stream.go
+++ b/role/proxy/stream.go
@@ -30,7 +30,6 @@
 // that another upstream can go on after it.
 func (x *exchange) stream(u cleat.UpstreamRecord, p *pool, conn *upConn, resp *http.Response) result {
 	buf := make([]byte, 0, eventBufferBytes)
-	rc := http.NewResponseController(x.w)
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= maxEventBytes {
@@ -43,7 +42,7 @@
 		buf = buf[:len(buf)+n]
 		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
 			end += len(eventEnd)
-			if writeErr := x.passEvents(rc, resp, buf[:end]); writeErr != nil {
+			if writeErr := x.passEvents(resp, buf[:end]); writeErr != nil {
 				conn.close()
 				x.role.end(x.job, place.OutcomeLeft)
 				x.decide("caller_gone", "upstream", u.Upstream, "err", writeErr)
@@ -61,7 +60,7 @@
 	}
 }
 
-func (x *exchange) passEvents(rc *http.ResponseController, resp *http.Response, events []byte) error {
+func (x *exchange) passEvents(resp *http.Response, events []byte) error {
 	if x.begun {
 		x.role.event(x.job, bytes.Count(events, eventEnd))
 	}
@@ -77,7 +76,7 @@
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
-	return rc.Flush()
+	return x.w.FlushError()
 }
 
 // lastID returns the id of the last event in a run of whole events.
--- a/role/proxy/wait.go
+++ b/role/proxy/wait.go
@@ -52,26 +52,28 @@
 	}
 }
 
-// submit returns the verdict on a job, after waiting if need be; false means
-// that ctx ended first.
-func (r *Role) submit(ctx context.Context, j *place.Job) (place.Verdict, bool) {
+// submit returns the verdict on a job, or, when the job waits, where the verdict
+// will come.
+func (r *Role) submit(j *place.Job) (place.Verdict, chan place.Verdict) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if j.ID == 0 {
 		r.jobs++
 		j.ID = r.jobs
 	}
 	v, decided := r.planner.Submit(r.clock.Now(), j)
-	var c chan place.Verdict
-	if !decided {
-		c = make(chan place.Verdict, 1)
-		r.waiters[j.ID] = c
-	}
-	r.mu.Unlock()
 	if decided {
-		return v, true
+		return v, nil
 	}
+	c := make(chan place.Verdict, 1)
+	r.waiters[j.ID] = c
+	return v, c
+}
+
+// await returns the verdict on a job that waits; false means that ctx ended first.
+func (r *Role) await(ctx context.Context, j *place.Job, c chan place.Verdict) (place.Verdict, bool) {
 	select {
-	case v = <-c:
+	case v := <-c:
 		return v, true
 	case <-ctx.Done():
 	}
--- a/role/telem/lines.go
+++ b/role/telem/lines.go
@@ -82,17 +82,22 @@
 
 // Log writes a line of a kind, unless too many were written lately.
 func (d *Decisions) Log(now time.Time, kind string, keyvals ...any) {
-	skipped, ok := d.allow(now, kind)
-	if !ok {
-		return
+	if skipped, ok := d.Allow(now, kind); ok {
+		d.Write(kind, skipped, keyvals)
 	}
+}
+
+// Write writes a line that Allow let pass.
+func (d *Decisions) Write(kind string, skipped int, keyvals []any) {
 	if skipped > 0 {
 		keyvals = append(keyvals, "left_out", skipped)
 	}
 	d.log.Info(kind, keyvals...)
 }
 
-func (d *Decisions) allow(now time.Time, kind string) (skipped int, ok bool) {
+// Allow reports whether a line of a kind may be written now, and how many were
+// left out before it. Callers that ask first needn't gather what isn't written.
+func (d *Decisions) Allow(now time.Time, kind string) (skipped int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a, known := d.rows[kind]
