--- a/link/httpd/response.go
+++ b/link/httpd/response.go
@@ -182,9 +182,9 @@
 	}
 }
 
-// Watch calls gone, from another goroutine, if the caller closes its connection
-// before the handler returns. The body must have been read. A caller that sends
-// its next request early is not watched.
+// Watch calls gone if the caller closes its connection before the handler
+// returns: at once if it has done so already, else from another goroutine. The
+// body must have been read. A caller that sends its next request early is not watched.
 func (w *Response) Watch(gone func()) {
 	c := w.conn
 	sc, ok := c.net.(syscall.Conn)
@@ -196,23 +196,48 @@
 		gone()
 		return
 	}
-	w.watched = make(chan struct{})
-	go watch(raw, gone, w.watched)
+	there := watched
+	if err := raw.Control(func(fd uintptr) { there = look(fd) }); err != nil {
+		there = left
+	}
+	switch there {
+	case left:
+		gone()
+	case watched:
+		w.watched = make(chan struct{})
+		go watch(raw, gone, w.watched)
+	}
+}
+
+// presence is what a look at a caller's connection shows.
+type presence uint8
+
+const (
+	watched presence = iota // Open, and nothing to be read.
+	early                   // The next request has come.
+	left                    // Closed.
+)
+
+func look(fd uintptr) presence {
+	n, err := peek(fd)
+	switch {
+	case errors.Is(err, unix.EAGAIN):
+		return watched
+	case err != nil || n == 0:
+		return left
+	}
+	return early
 }
 
 func watch(raw syscall.RawConn, gone func(), done chan<- struct{}) {
 	defer close(done)
-	left := false
+	there := watched
 	err := raw.Read(func(fd uintptr) bool {
-		n, err := peek(fd)
-		if errors.Is(err, unix.EAGAIN) {
-			return false
-		}
-		left = err != nil || n == 0
-		return true
+		there = look(fd)
+		return there != watched
 	})
 	// The deadline is how unwatch ends it.
-	if left || (err != nil && !isTimeout(err)) {
+	if there == left || (err != nil && !isTimeout(err)) {
 		gone()
 	}
 }
--- a/link/httpd/server_test.go
+++ b/link/httpd/server_test.go
@@ -79,6 +79,13 @@
 	case "/short":
 		w.Header().Set("Content-Length", "9")
 		_, _ = io.WriteString(w, "no")
+	case "/late":
+		<-r.hold
+		gone := false
+		w.Watch(func() { gone = true })
+		if gone {
+			r.left <- struct{}{}
+		}
 	case "/hold":
 		w.Watch(func() { r.left <- struct{}{} })
 		<-r.hold
@@ -224,6 +231,17 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("tells at once when a caller has left before it is watched", func() {
+		r := newRig(httpd.Config{}, nil)
+		c, _ := r.dial()
+		send(c, "GET /late"+end)
+		time.Sleep(50 * time.Millisecond)
+		Expect(c.Close()).To(Succeed())
+		time.Sleep(50 * time.Millisecond)
+		close(r.hold)
+		Eventually(r.left, patience).Should(Receive())
+	})
+
 	It("answers what came before the idle timeout, however late it is seen", func() {
 		r := newRig(httpd.Config{}, func(l net.Listener) net.Listener { return &lateListener{l} })
 		c, br := r.dial()
--- a/link/wire/bench_test.go
+++ b/link/wire/bench_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -57,3 +58,36 @@
 	}
 	client.wait(b, func() bool { return server.n.Load() == int64(b.N) })
 }
+
+// BenchmarkReport sends reports of what an entry sent to 50 upstreams.
+func BenchmarkReport(b *testing.B) {
+	var server, client counter
+	s, err := wire.Listen(testConfig(), "127.0.0.1:0", agentPeer, &server, quiet())
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = s.Serve() }()
+	defer func() { _ = s.Shutdown(b.Context()) }()
+	d := wire.NewDialer(testConfig(), entryPeer, &client, quiet())
+	defer d.Close()
+	d.Keep(s.Addr())
+	client.wait(b, func() bool { return client.link.Load() != nil })
+	m := &cleat.PlacementReport{Seq: 1}
+	for i := range 50 {
+		m.Loads = append(m.Loads, cleat.UpstreamLoad{Upstream: cleat.UpstreamID(fmt.Sprintf("i-%010d", i)), Prefill: 2000, Running: 2, Memory: 9000, Read: 4000, Pace: 30})
+	}
+	for i := range 30 {
+		m.Uses = append(m.Uses, cleat.WorkspaceUse{Workspace: cleat.WorkspaceID(fmt.Sprintf("w%d", i)), Asked: 5000, Admitted: 3000})
+	}
+	link := *client.link.Load()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if err := link.Send(m); err != nil {
+			b.Fatal(err)
+		}
+		if i%100 == 99 {
+			client.wait(b, func() bool { return server.n.Load() > int64(i-100) })
+		}
+	}
+	client.wait(b, func() bool { return server.n.Load() == int64(b.N) })
+}
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -43,6 +43,11 @@
 			x.giveUp(string(v.Reason), v.RetryAfter)
 			return
 		}
+		if x.ctx.Err() != nil {
+			x.role.end(x.job, place.OutcomeLeft)
+			x.ended()
+			return
+		}
 		x.decide("placed", "upstream", v.Upstream.Upstream, "phase", v.Upstream.Phase, "sequence", v.Upstream.Sequence,
 			"prompt", x.job.Prompt, "unread", v.Unread, "output", x.job.Output, "backlog", v.Backlog)
 		res, last := x.attempt(v.Upstream)
