--- a/link/httpd/conn.go
+++ b/link/httpd/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -127,8 +128,10 @@
 }
 
 func (c *conn) readHead() (*http.Request, error) {
-	if err := c.net.SetReadDeadline(time.Now().Add(c.server.cfg.HeadTimeout)); err != nil {
-		return nil, trace.Wrap(err)
+	if !c.headBuffered() {
+		if err := c.net.SetReadDeadline(time.Now().Add(c.server.cfg.HeadTimeout)); err != nil {
+			return nil, trace.Wrap(err)
+		}
 	}
 	req, err := http.ReadRequest(c.br)
 	if err != nil {
@@ -138,9 +141,18 @@
 		return nil, err
 	}
 	c.left = math.MaxInt64
-	return req, c.net.SetReadDeadline(time.Time{})
+	return req, nil
+}
+
+// headBuffered reports whether a whole head has been read from the connection,
+// so that reading it needs no deadline.
+func (c *conn) headBuffered() bool {
+	b, err := c.br.Peek(c.br.Buffered())
+	return err == nil && bytes.Contains(b, headEnd)
 }
 
+var headEnd = []byte("\r\n\r\n")
+
 // check refuses what net/http's parser lets pass and its server doesn't.
 func check(req *http.Request) error {
 	if req.ProtoMajor != 1 {
@@ -229,7 +241,7 @@
 	if err := w.end(); err != nil {
 		return false
 	}
-	if !c.drain(body) {
+	if !c.drain(body, req.ContentLength) {
 		c.linger()
 		return false
 	}
@@ -247,12 +259,17 @@
 	return true
 }
 
-// drain reads the rest of a body that the handler left; it reports whether the
-// next request can follow.
-func (c *conn) drain(body io.ReadCloser) bool {
+// drain reads the rest of a body that the handler left, whose length is negative
+// when it isn't stated; it reports whether the next request can follow.
+func (c *conn) drain(body io.ReadCloser, length int64) bool {
 	if body == http.NoBody {
 		return true
 	}
+	if length >= 0 {
+		if _, err := body.Read(nil); errors.Is(err, io.EOF) {
+			return true
+		}
+	}
 	if err := c.net.SetReadDeadline(time.Now().Add(c.server.cfg.LingerTimeout)); err != nil {
 		return false
 	}
--- a/link/httpd/response.go
+++ b/link/httpd/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,6 +24,7 @@
 	chunked bool
 	bare    bool // The answer has no body, whatever the handler writes.
 	last    bool // The connection ends after it.
+	bounded bool // Its writing has a deadline.
 	err     error
 	watched chan struct{} // Closed when the watch for the caller's leaving ends; nil without one.
 }
@@ -40,12 +42,31 @@
 // Header returns the fields of the head.
 func (w *Response) Header() http.Header { return w.header }
 
-// SetReadDeadline bounds the reading of the request's body.
-func (w *Response) SetReadDeadline(t time.Time) error { return w.conn.net.SetReadDeadline(t) }
+// ReadBody returns the request's whole body, read until a time; one of more than
+// limit bytes gives an http.MaxBytesError.
+func (w *Response) ReadBody(limit int64, until time.Time) ([]byte, error) {
+	n := w.req.ContentLength
+	if n < 0 || int64(w.conn.br.Buffered()) < n {
+		if err := w.conn.net.SetReadDeadline(until); err != nil {
+			return nil, trace.Wrap(err, "Response.ReadBody")
+		}
+	}
+	if n > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	if n >= 0 {
+		body := make([]byte, n)
+		_, err := io.ReadFull(w.req.Body, body)
+		return body, err
+	}
+	return io.ReadAll(http.MaxBytesReader(w, w.req.Body, limit))
+}
 
-// SetWriteDeadline bounds the writing of the answer, and of later ones on the
-// connection until it is set again.
-func (w *Response) SetWriteDeadline(t time.Time) error { return w.conn.net.SetWriteDeadline(t) }
+// SetWriteDeadline bounds the writing of the answer.
+func (w *Response) SetWriteDeadline(t time.Time) error {
+	w.bounded = true
+	return w.conn.net.SetWriteDeadline(t)
+}
 
 // WriteHeader writes the head, once.
 func (w *Response) WriteHeader(status int) {
@@ -165,6 +186,11 @@
 	if err := w.FlushError(); err != nil {
 		return err
 	}
+	if w.bounded {
+		if err := w.conn.net.SetWriteDeadline(time.Time{}); err != nil {
+			return trace.Wrap(err, "Response.end")
+		}
+	}
 	if !w.bare && w.length >= 0 && w.written < w.length {
 		return trace.BadParameter("Response.end: the body has %d bytes of %d", w.written, w.length)
 	}
@@ -200,6 +226,9 @@
 	if err := raw.Control(func(fd uintptr) { there = look(fd) }); err != nil {
 		there = left
 	}
+	if c.net.SetReadDeadline(time.Time{}) != nil {
+		there = left
+	}
 	switch there {
 	case left:
 		gone()
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -10,8 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"marigoldcleat.example/cleat"
 	"marigoldcleat.example/cleat/link/httpd"
 	"marigoldcleat.example/cleat/policy/place"
@@ -70,10 +68,6 @@
 		left = min(left, defaultTimeLeft)
 	}
 	x.until = x.began.Add(left)
-	if err := w.SetWriteDeadline(x.until.Add(writeSlack)); err != nil {
-		x.decide("caller_gone", "err", err)
-		return
-	}
 	defer x.unfollow()
 	size, ok := x.readBody()
 	defer r.held.Add(-size)
@@ -87,6 +81,10 @@
 func (x *exchange) follow() {
 	if x.ctx == nil {
 		x.ctx, x.cancel = context.WithDeadline(x.role.ctx, x.until)
+		if x.w.SetWriteDeadline(x.until.Add(writeSlack)) != nil {
+			x.cancel() // The connection is closed.
+			return
+		}
 		x.w.Watch(x.cancel)
 	}
 }
@@ -193,7 +191,7 @@
 	if x.r.ContentLength == 0 {
 		return size, true
 	}
-	body, err := x.readAll(limit)
+	body, err := x.w.ReadBody(limit, x.until)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -211,27 +209,6 @@
 	return size, true
 }
 
-func (x *exchange) readAll(limit int64) ([]byte, error) {
-	if err := x.w.SetReadDeadline(x.until); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	if n := x.r.ContentLength; n > 0 {
-		body := make([]byte, n)
-		_, err := io.ReadFull(x.r.Body, body)
-		return body, x.endRead(err)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	return body, x.endRead(err)
-}
-
-// endRead lifts the deadline of the body's bytes.
-func (x *exchange) endRead(err error) error {
-	if err != nil {
-		return err
-	}
-	return x.w.SetReadDeadline(time.Time{})
-}
-
 // decide logs a decision on the request.
 func (x *exchange) decide(kind string, keyvals ...any) {
 	now := x.role.clock.Now()
