place: callers who come back are known by their prompts

Cause: an objective counts from a caller's first attempt. The time that callers state doesn't tell who returns (trial: it varies as much with callers who come first).

A caller who comes back is judged from its first coming; while its workspace asks for more than 1.25 shares and it would be late, it is refused, so that the share goes to answers in time. Who can't be on time after a short pause is told to return in 1 to 4 s instead of 100 to 300 ms, when a burst may be over.

--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -20,6 +20,7 @@
 	Deadline  time.Time
 	Avoid     []cleat.UpstreamID // Sent to without success.
 
+	returned bool // Its caller was refused before.
 	upstream *upstream
 	unread   int // Prompt tokens that the upstream has to read.
 	memory   int // Tokens that it holds there.
@@ -54,6 +55,7 @@
 	ReasonNoUpstream Reason = "no_upstream" // None of the service is known, or all were tried.
 	ReasonOverload   Reason = "overload"    // It can't be served in time.
 	ReasonShare      Reason = "over_share"  // The workspace was sent its share of the capacity lately.
+	ReasonLate       Reason = "late_return" // It would be late, and others of its workspace need its share.
 )
 
 // paceMargin is added to the pace that a stream needs.
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -54,6 +54,7 @@
 	jobs      map[uint64]*Job // Sent and not ended.
 	waiting   []*Job          // In order of arrival.
 	uses      uses
+	returns   returns
 	rates     map[cleat.ServiceName]float64 // The best pace of streams seen lately, in tokens/s.
 	peers     map[cleat.InstanceID]*peer
 	parts     []cleat.CachedPart // Sent since the last report.
@@ -70,6 +71,7 @@
 		engines:   make(map[cleat.ServiceName]*cleat.ModelEngine),
 		jobs:      make(map[uint64]*Job),
 		uses:      newUses(cfg.UseWindow),
+		returns:   newReturns(),
 		rates:     make(map[cleat.ServiceName]float64),
 		peers:     make(map[cleat.InstanceID]*peer),
 	}
@@ -139,7 +141,16 @@
 func (p *Planner) Submit(now time.Time, j *Job) (Verdict, bool) {
 	if len(j.Avoid) == 0 {
 		p.uses.ask(now, j.Workspace, j.costUnits())
+		p.returns.meet(j)
 	}
+	v, decided := p.decide(now, j)
+	if decided && !v.Placed() {
+		p.returns.note(now, j)
+	}
+	return v, decided
+}
+
+func (p *Planner) decide(now time.Time, j *Job) (Verdict, bool) {
 	if !p.mayWaitFor(j) {
 		return Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetry / 4}, true
 	}
@@ -174,9 +185,18 @@
 }
 
 // limit judges a job whose workspace was sent its share of the capacity: it goes
-// only where engines have time to spare and nothing waits for them.
+// only where engines have time to spare and nothing waits for them. A caller that
+// came back too late gets nothing of what others of a crowding workspace can still
+// use in time.
 func (p *Planner) limit(now time.Time, j *Job) (Verdict, bool) {
-	if p.engines[j.Service] == nil || !p.uses.exceeds(now, j.Workspace, 1) {
+	if p.engines[j.Service] == nil {
+		return Verdict{}, false
+	}
+	over := p.uses.exceeds(now, j.Workspace, 1)
+	if j.returned && p.uses.crowded(now, j.Workspace) && p.late(now, j) {
+		return Verdict{Job: j, Reason: ReasonLate, RetryAfter: p.shareRetry(now, j)}, true
+	}
+	if !over {
 		return Verdict{}, false
 	}
 	if !p.blockedBy(j) && !p.uses.exceeds(now, j.Workspace, spareShare) {
@@ -184,16 +204,21 @@
 			return p.send(now, j, u), true
 		}
 	}
-	return Verdict{Job: j, Reason: ReasonShare, RetryAfter: p.shareRetry(j)}, true
+	return Verdict{Job: j, Reason: ReasonShare, RetryAfter: p.shareRetry(now, j)}, true
 }
 
 // minShareRetry and maxShareRetry bound when a caller refused for its workspace's
 // share returns: soon enough to be on time still, spread so that callers don't
-// return together.
+// return together. One that can't be on time any more returns once the accounting
+// has moved on, when a burst may be over.
 const minShareRetry, maxShareRetry = 100 * time.Millisecond, 300 * time.Millisecond
 
-func (p *Planner) shareRetry(j *Job) time.Duration {
-	return minShareRetry + time.Duration(unit(j.ID)*float64(maxShareRetry-minShareRetry))
+func (p *Planner) shareRetry(now time.Time, j *Job) time.Duration {
+	least, most := minShareRetry, maxShareRetry
+	if p.late(now.Add(least), j) {
+		least, most = p.cfg.MaxRetry/4, p.cfg.MaxRetry
+	}
+	return least + time.Duration(unit(j.ID)*float64(most-least))
 }
 
 // spareShare bounds what a workspace is sent in all while others want more than
--- a/policy/place/planner_test.go
+++ b/policy/place/planner_test.go
@@ -137,6 +137,60 @@
 		Expect(served).To(BeNumerically(">=", 36))
 	})
 
+	It("spends the share of a crowding workspace on callers that can be answered in time", func() {
+		// One workspace asks for four times its share, another for its own; callers that
+		// are refused come back once. A job counts as on time when it is sent so early
+		// that its engine can read it before its objective, from its first coming on.
+		const objective = 400 * time.Millisecond
+		r := newRig(8, 0, 160000)
+		type comer struct {
+			first time.Time
+			job   *place.Job
+		}
+		back := make(map[int][]comer) // By the step at which they return.
+		const step, steps = 10 * time.Millisecond, 1500
+		sent, late, tokens := 0, 0, 0
+		try := func(i int, w cleat.WorkspaceID, first time.Time, j *place.Job) {
+			v, decided := r.Submit(r.now, j)
+			switch {
+			case !decided:
+				r.Cancel(j)
+			case v.Placed():
+				reading := time.Duration(float64(v.Unread+v.Backlog)/30) * time.Millisecond
+				if w == "flood" {
+					sent, tokens = sent+1, tokens+j.Prompt+2*j.Output
+					if r.now.Add(reading).After(first.Add(objective)) {
+						late++
+					}
+				}
+				r.Begin(r.now.Add(reading), j)
+				r.End(r.now, j, place.OutcomeServed)
+			case first.Equal(r.now):
+				again := *j
+				k := i + int(v.RetryAfter/step)
+				back[k] = append(back[k], comer{first, &again})
+			}
+		}
+		for i := range steps {
+			j := r.prompt("flood", uint64(i%9), 1000, 5000, 50)
+			j.Target = r.now.Add(objective)
+			try(i, "flood", r.now, j)
+			if i%4 == 0 {
+				try(i, "other", r.now, r.prompt("other", 99, 1000, 5000, 50))
+			}
+			for _, c := range back[i] {
+				j := *c.job
+				r.next++
+				j.ID, j.Arrived, j.Target, j.Deadline = r.next, r.now, r.now.Add(objective), r.now.Add(12*time.Second)
+				try(i, "flood", c.first, &j)
+			}
+			r.now = r.now.Add(step)
+		}
+		share := 80000.0 * (steps * step).Seconds() // Half of what all engines produce.
+		Expect(float64(tokens)).To(BeNumerically(">", 0.9*share))
+		Expect(float64(late)).To(BeNumerically("<", 0.02*float64(sent)))
+	})
+
 	It("lets a workspace go beyond its share while engines are idle", func() {
 		r := newRig(4, 0, 1000)
 		for range 10 {
--- a/policy/place/use.go
+++ b/policy/place/use.go
@@ -134,6 +134,16 @@
 	return float64(u.admitted(now, w)) >= times*u.level
 }
 
+// crowdedShare is how many times its share a workspace asks for when its callers
+// are taken to crowd each other out.
+const crowdedShare = 1.25
+
+// crowded reports whether a workspace asked for much more than its share lately.
+func (u *uses) crowded(now time.Time, w cleat.WorkspaceID) bool {
+	r := u.row(now, w)
+	return u.capacity > 0 && float64(sum(r.asked)+r.peers.asked) > crowdedShare*u.level
+}
+
 // share returns the most that a workspace is owed in a window: what is asked by
 // those that ask for less is left to the others in even parts.
 func (u *uses) share(now time.Time) float64 {
