--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -108,7 +108,7 @@
 // such streams away from engines that read much: reading slows all streams of
 // an engine. It reports whether streams there would still end in time.
 func (p *Planner) paceCost(now time.Time, j *Job, u *upstream, unread int, wait time.Duration) (time.Duration, bool) {
-	best := sustained * p.rates[j.Service]
+	best := sustained * p.bestPace[j.Service]
 	if best == 0 {
 		return 0, true
 	}
@@ -116,7 +116,7 @@
 	own := min(1, j.paceLeft(now.Add(wait))/best)
 	others := min(1, needed/best)
 	duty := u.duty(now, min(unread, int(u.speed*dutyStep)))
-	if u.running() > 0 && (duty > maxDuty || (u.rate > 0 && u.rate < needed)) {
+	if u.running() > 0 && (duty > maxDuty || (u.streamPace > 0 && u.streamPace < needed)) {
 		return 0, false
 	}
 	reading := time.Duration(float64(unread)/u.speed) * time.Millisecond
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -55,7 +55,7 @@
 	waiting   []*Job          // In order of arrival.
 	uses      uses
 	returns   returns
-	rates     map[cleat.ServiceName]float64 // The best pace of streams seen lately, in tokens/s.
+	bestPace  map[cleat.ServiceName]float64 // The best pace of streams seen lately, in tokens/s.
 	peers     map[cleat.InstanceID]*peer
 	parts     []cleat.CachedPart // Sent since the last report.
 	seq       uint64
@@ -72,7 +72,7 @@
 		jobs:      make(map[uint64]*Job),
 		uses:      newUses(cfg.UseWindow),
 		returns:   newReturns(),
-		rates:     make(map[cleat.ServiceName]float64),
+		bestPace:  make(map[cleat.ServiceName]float64),
 		peers:     make(map[cleat.InstanceID]*peer),
 	}
 }
@@ -366,61 +366,3 @@
 func (p *Planner) Cancel(j *Job) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Job) bool { return w == j })
 }
-
-// Begin notes the first event or the answer of a sent job.
-func (p *Planner) Begin(now time.Time, j *Job) {
-	if u := j.upstream; u != nil {
-		u.begin(now, j)
-		u.reached()
-	}
-}
-
-// Event notes further events of a sent job.
-func (p *Planner) Event(now time.Time, j *Job, events int) {
-	u := j.upstream
-	if u == nil || u.engine == nil {
-		return
-	}
-	u.event(now, j, events)
-	if best := p.rates[u.record.Service]; u.rate > best {
-		p.rates[u.record.Service] = u.rate
-	} else {
-		p.rates[u.record.Service] = best + bestRateDecay*(u.rate-best)
-	}
-}
-
-// bestRateDecay is the weight of one event in the decline of the best pace seen.
-const bestRateDecay = 0.0002
-
-// Outcome tells how an attempt ended, as far as the upstream is concerned.
-type Outcome uint8
-
-// The outcomes of an attempt.
-const (
-	OutcomeServed      Outcome = iota
-	OutcomeFailed              // The upstream answered with a failure of its own, or broke off.
-	OutcomeFull                // The upstream did not run it for lack of room.
-	OutcomeUnreachable         // No connection, or the connection was lost.
-	OutcomeLeft                // The caller left or its time was up.
-)
-
-// End notes that a sent job ended.
-func (p *Planner) End(now time.Time, j *Job, o Outcome) {
-	u := j.upstream
-	if u == nil {
-		return
-	}
-	u.remove(j)
-	delete(p.jobs, j.ID)
-	switch o {
-	case OutcomeServed:
-		u.noteOutcome(now, false)
-		u.reached()
-	case OutcomeFailed:
-		u.noteOutcome(now, true)
-	case OutcomeFull:
-		u.avoidUntil = now.Add(firstBackoff)
-	case OutcomeUnreachable:
-		u.unreachable(now)
-	}
-}
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -17,8 +17,8 @@
 	// fasterStep and slowerStep are by how much one observation moves the speed: it
 	// settles where one in three is faster.
 	fasterStep, slowerStep = 0.04, 0.02
-	// rateSmoothing is the weight of one event in the pace of an upstream's streams.
-	rateSmoothing = 0.05
+	// paceSmoothing is the weight of one event in the pace of an upstream's streams.
+	paceSmoothing = 0.05
 	// paceInterval is how long the pace that streams need is taken to hold.
 	paceInterval = 50 * time.Millisecond
 	// paceQuantile is the part of the streams whose pace counts: the most urgent
@@ -55,19 +55,19 @@
 	cache  *partCache
 	jobs   map[uint64]*Job // Of this entry.
 
-	unread  int // Prompt tokens of own jobs without a first event.
-	memory  int // Tokens of own jobs.
-	peers   peerLoad
-	speed   float64 // Tokens/ms.
-	rate    float64 // Tokens/s that its streams get; zero until seen.
-	read    window  // Prompt tokens sent to be read.
-	pace    float64 // What ownPace found at pacedAt.
-	pacedAt time.Time
-	failing float64 // Failure rate, 0 to 1, when it was last moved.
-	movedAt time.Time
-	sentAt  time.Time // When it was sent a job last.
-	hash    uint64    // Of its name.
-	lane    float64   // See laneOf.
+	unread     int // Prompt tokens of own jobs without a first event.
+	memory     int // Tokens of own jobs.
+	peers      peerLoad
+	speed      float64 // Tokens/ms.
+	streamPace float64 // Tokens/s that its streams get; zero until seen.
+	read       window  // Prompt tokens sent to be read.
+	pace       float64 // What ownPace found at pacedAt.
+	pacedAt    time.Time
+	failing    float64 // Failure rate, 0 to 1, when it was last moved.
+	movedAt    time.Time
+	sentAt     time.Time // When it was sent a job last.
+	hash       uint64    // Of its name.
+	lane       float64   // See laneOf.
 
 	strikes    int // Failures to reach it in a row.
 	avoidUntil time.Time
@@ -166,10 +166,10 @@
 	}
 	j.made += events * u.engine.EventTokens
 	seen := float64(events*u.engine.EventTokens) / gap.Seconds()
-	if u.rate == 0 {
-		u.rate = seen
+	if u.streamPace == 0 {
+		u.streamPace = seen
 	}
-	u.rate += rateSmoothing * (seen - u.rate)
+	u.streamPace += paceSmoothing * (seen - u.streamPace)
 }
 
 // needed returns the tokens/s that all but the most urgent few of the streams
--- a/routing.go
+++ b/routing.go
@@ -61,18 +61,16 @@
 
 // Service is what a manifest says of a service.
 type Service struct {
-	Name       ServiceName
-	HealthPath string
-	MaxConns   int          // Accepted by each upstream from all callers together.
-	Engine     *ModelEngine // Nil for a plain service.
+	Name     ServiceName
+	MaxConns int          // Accepted by each upstream from all callers together.
+	Engine   *ModelEngine // Nil for a plain service.
 }
 
 // ModelEngine describes the upstreams of a service that runs a model.
 type ModelEngine struct {
-	Slots         int // Requests batched at once.
-	MemoryTokens  int // Tokens that running requests and cached parts share.
-	EventTokens   int // Tokens in one event of a stream.
-	Subscriptions int // Cache event calls that an upstream keeps waiting.
+	Slots        int // Requests batched at once.
+	MemoryTokens int // Tokens that running requests and cached parts share.
+	EventTokens  int // Tokens in one event of a stream.
 }
 
 // WorkspaceKeys names a workspace of a manifest and its keys.
