--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -65,6 +65,7 @@
 	next    chan net.Conn // Accepted, for a worker that waits.
 	waiting atomic.Int64  // Workers that wait.
 	closing atomic.Bool
+	quit    chan struct{} // Closed when no connection will come any more.
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -79,7 +80,7 @@
 		return nil, err
 	}
 	return &Server{
-		cfg: cfg, handler: handler, log: logger, next: make(chan net.Conn),
+		cfg: cfg, handler: handler, log: logger, next: make(chan net.Conn), quit: make(chan struct{}),
 		conns: make(map[*conn]struct{}), ended: make(chan struct{}, 1),
 	}, nil
 }
@@ -149,8 +150,12 @@
 			s.waiting.Add(-1)
 			return
 		}
-		c = <-s.next
-		s.waiting.Add(-1)
+		select {
+		case c = <-s.next:
+			s.waiting.Add(-1)
+		case <-s.quit:
+			return
+		}
 	}
 }
 
@@ -175,7 +180,9 @@
 // Shutdown stops accepting, closes connections without a request, and waits
 // for the others until ctx ends; then it closes them too and returns ctx's error.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.closing.Store(true)
+	if !s.closing.Swap(true) {
+		close(s.quit)
+	}
 	s.mu.Lock()
 	for _, l := range s.listeners {
 		if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -270,6 +270,7 @@
 			drains[j.Service] = d
 		}
 		if v, refused := p.judge(now, j, d, ahead[j.Service]); refused {
+			p.returns.note(now, j)
 			verdicts = append(verdicts, v)
 			continue
 		}
