--- a/link/httpd/conn.go
+++ b/link/httpd/conn.go
@@ -86,7 +86,7 @@
 func (c *conn) await() bool {
 	c.idle.Store(true)
 	c.left = c.server.cfg.MaxHeadBytes + bufferBytes
-	if c.server.closing.Load() || c.net.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout)) != nil {
+	if (c.server.closing.Load() && c.br.Buffered() == 0 && !pending(c.net)) || c.net.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout)) != nil {
 		return false
 	}
 	_, err := c.br.Peek(1)
--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -207,7 +207,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if all || c.idle.Load() {
+		// A request that has come, but was not seen yet, is answered first.
+		if all || (c.idle.Load() && !pending(c.net)) {
 			c.close()
 		}
 	}
--- a/link/httpd/server_test.go
+++ b/link/httpd/server_test.go
@@ -286,6 +286,18 @@
 		Eventually(done.Load, patience).Should(BeTrue())
 	})
 
+	It("answers a request at a shutdown that had come and was not seen yet", func() {
+		r := newRig(httpd.Config{}, func(l net.Listener) net.Listener { return &lateListener{l} })
+		c, br := r.dial()
+		send(c, "GET /events"+end)
+		Eventually(r.server.Conns, patience).Should(Equal(1))
+		Expect(r.server.Shutdown(context.Background())).To(Succeed())
+		resp, _, err := receive(br, "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(resp.Close).To(BeTrue())
+	})
+
 	It("cuts requests off when the shutdown's time is up", func() {
 		r := newRig(httpd.Config{}, nil)
 		c, br := r.dial()
