entry: answers of callers who left are broken off, not ended

Cause, found on reading the change: when the caller had left, or the role ended, the handler returned without a final answer, and the server then ended the answer as complete: an empty 200, or the last chunk of a stream cut short. A caller that had only stopped sending could read that. net/http's server did the same before. Two tests on the whole path, before the first event and between events, failed.

--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -112,6 +112,9 @@
 	}
 	x.decide("caller_left", "attempts", x.attempts)
 	x.role.measures.answered(x.service, "caller_left", x.role.clock.Now().Sub(x.began))
+	// A caller that has only stopped sending may still read: to return would end
+	// the answer as if it were complete.
+	panic(http.ErrAbortHandler)
 }
 
 // giveUp answers a request that can't go to any, or any further, upstream.
