Log what a refusal for the share was compared with, and the entry's own load

Callers of a workspace were refused as over_share or overload, and no line said why: not the share, the usage here and elsewhere, the age of the reports, whether what was admitted ran, how many requests waited, nor how the entry itself was doing.

Once a second an entry now writes 'usage' for each workspace beyond its share and 'load' while requests wait, are late or connections can't be accepted; a refusal for the share carries the same figures. Cost: at most some ten lines a second, under the volume limit of each kind.

--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -64,6 +64,8 @@
 	log         *log.Logger
 	accepted    chan net.Conn // Hands accepted connections to idle workers.
 	idleWorkers atomic.Int64  // Workers that wait for a connection.
+	acceptedN   atomic.Int64  // Connections accepted since the start.
+	failedN     atomic.Int64  // Failed accepts since the start.
 	closing     atomic.Bool
 	quit        chan struct{} // Closed by Shutdown; ends idle workers.
 
@@ -100,6 +102,13 @@
 	return len(s.conns)
 }
 
+// Accepted returns how many connections were accepted since the start.
+func (s *Server) Accepted() int64 { return s.acceptedN.Load() }
+
+// AcceptFailures returns how many accepts failed since the start, for example for lack
+// of file descriptors.
+func (s *Server) AcceptFailures() int64 { return s.failedN.Load() }
+
 // Bounds of the back-off after a failed accept, for example for lack of file descriptors.
 const minAcceptBackoff, maxAcceptBackoff = 5 * time.Millisecond, time.Second
 
@@ -116,10 +125,12 @@
 		switch {
 		case err == nil:
 			backoff = 0
+			s.acceptedN.Add(1)
 			s.dispatchConn(c)
 		case s.closing.Load():
 			return nil
 		case errors.As(err, &netErr) && !errors.Is(err, net.ErrClosed):
+			s.failedN.Add(1)
 			backoff = min(max(2*backoff, minAcceptBackoff), maxAcceptBackoff)
 			s.log.Warn("connection not accepted", "err", err, "retry_in", backoff)
 			time.Sleep(backoff)
--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -5,6 +5,9 @@
 // RecordFirstEvent records the first event or the answer of a sent job.
 func (p *Planner) RecordFirstEvent(now time.Time, j *Job) {
 	if u := j.upstream; u != nil {
+		if !j.hasFirstEvent {
+			p.usage.addStarted(now, j.Workspace, j.costUnits())
+		}
 		u.recordFirstEvent(now, j)
 		u.recordReachable()
 	}
--- a/policy/place/planner_test.go
+++ b/policy/place/planner_test.go
@@ -355,6 +355,20 @@
 		Expect(sent).To(BeNumerically("<=", 2*prefillRate*1000))
 	})
 
+	It("reports what a workspace beyond its share requested, was admitted and started, here and elsewhere", func() {
+		r := newRig(2, 0, 1000)
+		j := r.prompt("w", 1, 0, 5000, 50)
+		Expect(r.submit(j).Placed()).To(BeTrue())
+		r.submit(r.prompt("w", 1, 0, 5000, 50))
+		r.RecordFirstEvent(r.now, j)
+		r.ApplyReport(r.now, "other", &cleat.PlacementReport{Seq: 1, Usage: []cleat.WorkspaceUsage{{Workspace: "w", RequestedTokens: 300, AdmittedTokens: 200}}})
+		r.now = r.now.Add(time.Second)
+		r.submit(r.prompt("w", 1, 0, 900, 50))
+		Expect(r.OversubscribedUsage(r.now)).To(Equal([]place.ShareUsage{{
+			Workspace: "w", Share: 4000, Requested: 11200, Admitted: 10200, Started: 5100, RequestedElsewhere: 300, AdmittedElsewhere: 200, ReportAge: time.Second,
+		}}))
+	})
+
 	It("drops an entry's report once the entry has timed out", func() {
 		r := newRig(0, 1, 0)
 		full := &cleat.PlacementReport{Seq: 1, Loads: []cleat.UpstreamLoad{{Upstream: "d0", Running: 50}}}
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -40,17 +41,17 @@
 // windowBuckets is the number of buckets of a sliding window.
 const windowBuckets = 8
 
-// workspaceUsage counts the cost units requested by and admitted for one workspace
-// over a sliding window.
+// workspaceUsage counts the cost units requested by, admitted for and started for one
+// workspace over a sliding window.
 type workspaceUsage struct {
-	requested, admitted [windowBuckets]int
-	peers               peerUsage // At other entries.
-	newest              int64     // Number of the newest bucket.
+	requested, admitted, started [windowBuckets]int
+	peers                        peerUsage // At other entries.
+	newest                       int64     // Number of the newest bucket.
 }
 
 func (u *workspaceUsage) advance(bucket int64) {
 	for n := max(u.newest+1, bucket-windowBuckets+1); n <= bucket; n++ {
-		u.requested[n%windowBuckets], u.admitted[n%windowBuckets] = 0, 0
+		u.requested[n%windowBuckets], u.admitted[n%windowBuckets], u.started[n%windowBuckets] = 0, 0, 0
 	}
 	u.newest = max(u.newest, bucket)
 }
@@ -100,6 +101,11 @@
 	r.admitted[r.newest%windowBuckets] += units
 }
 
+func (u *usageTable) addStarted(now time.Time, w cleat.WorkspaceID, units int) {
+	r := u.row(now, w)
+	r.started[r.newest%windowBuckets] += units
+}
+
 // admitted returns the cost units that all entries recently admitted for a workspace.
 func (u *usageTable) admitted(now time.Time, w cleat.WorkspaceID) int {
 	r := u.row(now, w)
@@ -168,3 +174,56 @@
 	}
 	return math.Inf(1)
 }
+
+// ShareUsage is what one entry knows about a workspace's use of the capacity, in cost
+// units over the accounting window.
+type ShareUsage struct {
+	Workspace                             cleat.WorkspaceID
+	Share                                 float64       // Of the whole fleet's capacity; infinite when it covers all demand.
+	Requested, Admitted, Started          int           // At this entry; started requests have a first event.
+	RequestedElsewhere, AdmittedElsewhere int           // At other entries, by their last reports.
+	ReportAge                             time.Duration // Age of the oldest report that counts.
+}
+
+// usage returns the use of a workspace, without ReportAge. It uses the share that
+// exceedsShare last computed.
+func (u *usageTable) usage(now time.Time, w cleat.WorkspaceID) ShareUsage {
+	r := u.row(now, w)
+	return ShareUsage{
+		Workspace: w, Share: u.fairShare, Requested: sum(r.requested), Admitted: sum(r.admitted), Started: sum(r.started),
+		RequestedElsewhere: r.peers.requested, AdmittedElsewhere: r.peers.admitted,
+	}
+}
+
+// ShareUsage returns what the planner knows about the use of one workspace.
+func (p *Planner) ShareUsage(now time.Time, w cleat.WorkspaceID) ShareUsage {
+	s := p.usage.usage(now, w)
+	s.ReportAge = p.oldestReport(now)
+	return s
+}
+
+// OversubscribedUsage returns the use of the workspaces that recently requested more
+// than their share, some of it at this entry, sorted by name.
+func (p *Planner) OversubscribedUsage(now time.Time) []ShareUsage {
+	if p.usage.capacity == 0 {
+		return nil
+	}
+	var list []ShareUsage
+	for w := range p.usage.rows {
+		s := p.ShareUsage(now, w)
+		if s.Requested > 0 && float64(s.Requested+s.RequestedElsewhere) > s.Share {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b ShareUsage) int { return strings.Compare(string(a.Workspace), string(b.Workspace)) })
+	return list
+}
+
+// oldestReport returns the age of the oldest report of another entry.
+func (p *Planner) oldestReport(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, q := range p.peers {
+		oldest = max(oldest, now.Sub(q.receivedAt))
+	}
+	return oldest
+}
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -142,7 +142,7 @@
 		now := r.clock.Now()
 		r.mu.Lock()
 		r.planner.ExpirePeers(now)
-		r.requestMetrics.updateGauges(r.planner.Waiting(), r.planner.Running(), r.heldBytes.Load())
+		r.requestMetrics.updateGauges(r)
 		pools := make([]*pool, 0, len(r.pools))
 		for _, p := range r.pools {
 			pools = append(pools, p)
--- /dev/null
+++ b/role/proxy/load.go
@@ -0,0 +1,50 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"marigoldcleat.example/cleat/policy/place"
+)
+
+// loadLogInterval is the time between the lines about shares and about the entry's own
+// load.
+const loadLogInterval = time.Second
+
+// loadLoop logs the usage of the workspaces that request more than their share, and
+// the entry's own load while requests wait or are late, or connections can't be
+// accepted.
+func (r *Role) loadLoop(ctx context.Context) error {
+	failures := int64(0)
+	for sleep(ctx, loadLogInterval) {
+		now := r.clock.Now()
+		r.mu.Lock()
+		list := r.planner.OversubscribedUsage(now)
+		waiting, running := r.planner.Waiting(), r.planner.Running()
+		r.mu.Unlock()
+		for i := range list {
+			r.decisions.Log(now, "usage", append([]any{"workspace", list[i].Workspace}, shareFields(&list[i])...)...)
+		}
+		lag, failed := time.Duration(r.lag.Load()), r.server.AcceptFailures()
+		if lag > lagShedNone || waiting > 0 || failed > failures {
+			r.decisions.Log(now, "load", "lag", lag.Round(time.Millisecond), "connections", r.server.Conns(), "accepted", r.server.Accepted(),
+				"not_accepted", failed-failures, "requests", r.active.Load(), "waiting", waiting, "running", running, "shed", r.shed.Load(),
+				"dispatch_pause", time.Duration(r.dispatchPause.Load()).Round(time.Millisecond))
+		}
+		failures = failed
+	}
+	return nil
+}
+
+// shareFields returns the log fields of a workspace's usage, in cost units over the
+// accounting window.
+func shareFields(u *place.ShareUsage) []any {
+	return []any{
+		"share", int64(min(u.Share, maxLoggedShare)), "requested", u.Requested, "admitted", u.Admitted, "started", u.Started,
+		"requested_elsewhere", u.RequestedElsewhere, "admitted_elsewhere", u.AdmittedElsewhere, "oldest_report", u.ReportAge.Round(time.Millisecond),
+	}
+}
+
+// maxLoggedShare stands for an infinite share, which is that of every workspace while
+// the capacity covers all demand.
+const maxLoggedShare = 1e15
--- a/role/proxy/metrics.go
+++ b/role/proxy/metrics.go
@@ -18,19 +18,29 @@
 	waiting tally.Gauge
 	running tally.Gauge
 	held    tally.Gauge
+	conns   tally.Gauge
+	lag     tally.Gauge
+	shed    tally.Gauge
+	failed  tally.Gauge
 	series  sync.Map // answerSeries by answerKey; bounded by the services of manifests.
 }
 
 func newRequestMetrics(scope tally.Scope) *requestMetrics {
 	return &requestMetrics{
 		scope: scope, waiting: scope.Gauge("waiting"), running: scope.Gauge("running"), held: scope.Gauge("held_bytes"),
+		conns: scope.Gauge("caller_connections"), lag: scope.Gauge("lag_seconds"), shed: scope.Gauge("shed_requests"), failed: scope.Gauge("failed_accepts"),
 	}
 }
 
-func (m *requestMetrics) updateGauges(waiting, running int, held int64) {
-	m.waiting.Update(float64(waiting))
-	m.running.Update(float64(running))
-	m.held.Update(float64(held))
+// updateGauges sets the gauges of r. The caller holds r.mu.
+func (m *requestMetrics) updateGauges(r *Role) {
+	m.waiting.Update(float64(r.planner.Waiting()))
+	m.running.Update(float64(r.planner.Running()))
+	m.held.Update(float64(r.heldBytes.Load()))
+	m.conns.Update(float64(r.server.Conns()))
+	m.lag.Update(time.Duration(r.lag.Load()).Seconds())
+	m.shed.Update(float64(r.shed.Load()))
+	m.failed.Update(float64(r.server.AcceptFailures()))
 }
 
 // recordAnswer counts a final answer and records how long it took.
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -61,6 +61,8 @@
 	heldBytes      atomic.Int64  // Bytes of request bodies in memory.
 	active         atomic.Int64  // Requests being served.
 	lag            atomic.Int64  // Recent scheduling delay, in nanoseconds; see lagLoop.
+	shed           atomic.Int64  // Requests refused for lack of processor time.
+	dispatchPause  atomic.Int64  // Last pause between passes over the waiting jobs, in nanoseconds.
 	manifestReady  chan struct{} // Signals a pending manifest.
 	wake           chan struct{} // Wakes dispatchLoop.
 
@@ -182,7 +184,7 @@
 	r.log.Info("started", "callers", r.Addr(), "links", r.self.Address, "controls", r.cfg.Controls)
 	var g run.Group
 	for _, worker := range []func(context.Context) error{
-		r.control.Run, r.dispatchLoop, r.reportLoop, r.sweepLoop, r.settingsLoop, r.manifestLoop, r.lagLoop,
+		r.control.Run, r.dispatchLoop, r.reportLoop, r.sweepLoop, r.settingsLoop, r.manifestLoop, r.lagLoop, r.loadLoop,
 	} {
 		g.Add(func() error { return worker(r.ctx) }, func(error) { r.cancel() })
 	}
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -58,6 +58,7 @@
 		return
 	}
 	if r.shouldShed() {
+		r.shed.Add(1)
 		x.refuse(http.StatusServiceUnavailable, "entry_busy", x.randomRetryAfter())
 		return
 	}
@@ -213,10 +214,12 @@
 // logDecision logs a decision on the request.
 func (x *exchange) logDecision(kind string, keyvals ...any) {
 	now := x.role.clock.Now()
-	skipped, ok := x.role.decisions.Allow(now, kind)
-	if !ok {
-		return
+	if skipped, ok := x.role.decisions.Allow(now, kind); ok {
+		x.writeDecision(now, kind, skipped, keyvals)
 	}
+}
+
+func (x *exchange) writeDecision(now time.Time, kind string, skipped int, keyvals []any) {
 	fields := []any{"request", x.info.ID, "workspace", x.workspace, "service", x.service, "after", now.Sub(x.arrived).Round(time.Millisecond)}
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "manifest", x.table.Version)
@@ -224,13 +227,31 @@
 	x.role.decisions.Write(kind, skipped, append(fields, keyvals...))
 }
 
+// logRefusal logs a refusal. One for the workspace's share states the share and the
+// usage that it was compared with.
+func (x *exchange) logRefusal(status int, reason string, retryAfter time.Duration) {
+	now := x.role.clock.Now()
+	skipped, ok := x.role.decisions.Allow(now, "refused")
+	if !ok {
+		return
+	}
+	fields := []any{"status", status, "why", reason, "attempts", x.attempts, "retry_after", retryAfter}
+	if r := place.Reason(reason); r == place.ReasonOverShare || r == place.ReasonLateRetry {
+		x.role.mu.Lock()
+		u := x.role.planner.ShareUsage(now, x.workspace)
+		x.role.mu.Unlock()
+		fields = append(fields, shareFields(&u)...)
+	}
+	x.writeDecision(now, "refused", skipped, fields)
+}
+
 // memoryRetryAfter is the Retry-After of a refusal for lack of memory.
 const memoryRetryAfter = time.Second
 
 // refuse answers a request for which no upstream's answer is relayed: it has not run
 // and never will, unless the status is 502 or 504.
 func (x *exchange) refuse(status int, reason string, retryAfter time.Duration) {
-	x.logDecision("refused", "status", status, "why", reason, "attempts", x.attempts, "retry_after", retryAfter)
+	x.logRefusal(status, reason, retryAfter)
 	x.role.requestMetrics.recordAnswer(x.service, reason, x.role.clock.Now().Sub(x.arrived))
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/role/proxy/wait.go
+++ b/role/proxy/wait.go
@@ -46,7 +46,9 @@
 		}
 		took := r.clock.Now().Sub(start)
 		r.mu.Unlock()
-		if !sleep(ctx, max(minDispatchPause, dispatchPauseFactor*took)) {
+		pause := max(minDispatchPause, dispatchPauseFactor*took)
+		r.dispatchPause.Store(int64(pause))
+		if !sleep(ctx, pause) {
 			return nil
 		}
 	}
