Send all waiting requests that fit in one pass

Callers behind an entry with several times its part of the requests were refused as overload, or left while they waited, although their workspace had not used its share and engines were free.

Cause: a pass over the waiting requests tried 8 of a service, whether or not they could be sent, and then paused 40 times as long as it had taken; every later request of the service goes behind the waiting ones. So an entry sent some 10 requests a second from its queue, whatever was free. Ruled out: lack of processor time (lag 0 to 91 ms from 17 to 24 s) and the share (never over_share there).

Only requests for which no upstream is found count towards the bound on a pass now, which keeps its cost independent of the queue; the pause is shorter after a pass that decided on something, and 100 ms at most.

--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -243,9 +243,10 @@
 	return u.record.Phase == cleat.UpstreamReady && !slices.Contains(j.Tried, u.record.Upstream)
 }
 
-// maxTriesPerDispatch bounds for how many jobs of a service one dispatch round looks
-// for an upstream, so that the cost of choosing upstreams doesn't grow with the queue.
-const maxTriesPerDispatch = 8
+// maxFailedTries bounds for how many jobs of a service one dispatch round looks for an
+// upstream in vain, so that the cost of a round doesn't grow with a queue that no
+// engine can take.
+const maxFailedTries = 8
 
 // Dispatch returns the verdicts on waiting jobs that can be decided now.
 func (p *Planner) Dispatch(now time.Time) []Verdict {
@@ -255,18 +256,19 @@
 	var verdicts []Verdict
 	var stillWaiting []*Job
 	ahead := make(map[cleat.ServiceName]int)
-	tries := make(map[cleat.ServiceName]int)
+	failedTries := make(map[cleat.ServiceName]int)
 	loads := make(map[cleat.ServiceName]serviceLoad)
 	for _, j := range p.dispatchOrder(now) {
 		if !p.hasUsableUpstream(j) {
 			verdicts = append(verdicts, Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetryAfter / 4})
 			continue
 		}
-		if tries[j.Service]++; tries[j.Service] <= maxTriesPerDispatch {
+		if failedTries[j.Service] < maxFailedTries {
 			if u := p.chooseUpstream(now, j); u != nil {
 				verdicts = append(verdicts, p.assign(now, j, u))
 				continue
 			}
+			failedTries[j.Service]++
 		}
 		l, ok := loads[j.Service]
 		if !ok {
--- a/role/proxy/proxy_test.go
+++ b/role/proxy/proxy_test.go
@@ -46,3 +46,24 @@
 		})
 	}
 }
+
+// FAIR on pastor-andino-grown: the dispatcher of a busy entry paused for 749 ms.
+func TestPauseAfterDispatch(t *testing.T) {
+	cases := map[string]struct {
+		took    time.Duration
+		decided int
+		pause   time.Duration
+	}{
+		"a short pass":                      {100 * time.Microsecond, 1, minDispatchPause},
+		"a pass that decided":               {5 * time.Millisecond, 20, 45 * time.Millisecond},
+		"a pass that left all jobs waiting": {2 * time.Millisecond, 0, 78 * time.Millisecond},
+		"a pass at a slow entry":            {19 * time.Millisecond, 8, maxDispatchPause},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := pauseAfterDispatch(c.took, c.decided); got != c.pause {
+				t.Errorf("pauseAfterDispatch: got %v, want %v", got, c.pause)
+			}
+		})
+	}
+}
--- a/role/proxy/wait.go
+++ b/role/proxy/wait.go
@@ -8,11 +8,27 @@
 )
 
 const (
-	minDispatchPause    = 15 * time.Millisecond // Minimum between passes over the waiting jobs.
-	dispatchPauseFactor = 40                    // Minimum pause as a multiple of the time the last pass took.
-	dispatchInterval    = 25 * time.Millisecond // Between passes when nothing wakes the dispatcher.
+	dispatchInterval = 25 * time.Millisecond // Between passes over the waiting jobs when nothing wakes the dispatcher.
+	// minDispatchPause and maxDispatchPause bound the pause between passes. Callers
+	// notice the longest one, which is a fifth of a usual latency objective.
+	minDispatchPause, maxDispatchPause = 15 * time.Millisecond, 100 * time.Millisecond
+	// dispatchPauseFactor and idleDispatchPauseFactor are the pause after a pass, as a
+	// multiple of the time that it took: after one that decided on jobs, and after one
+	// that left all of them waiting. They bound the dispatcher's share of the
+	// processor to a tenth and a fortieth, until maxDispatchPause is reached.
+	dispatchPauseFactor, idleDispatchPauseFactor = 9, 39
 )
 
+// pauseAfterDispatch returns the pause after a pass that took some time and decided on
+// a number of jobs.
+func pauseAfterDispatch(took time.Duration, decided int) time.Duration {
+	factor := time.Duration(dispatchPauseFactor)
+	if decided == 0 {
+		factor = idleDispatchPauseFactor
+	}
+	return min(max(factor*took, minDispatchPause), maxDispatchPause)
+}
+
 // wakeDispatcher makes dispatchLoop check the waiting jobs.
 func (r *Role) wakeDispatcher() {
 	select {
@@ -38,7 +54,8 @@
 			continue
 		}
 		start := r.clock.Now()
-		for _, v := range r.planner.Dispatch(r.clock.Now()) {
+		verdicts := r.planner.Dispatch(start)
+		for _, v := range verdicts {
 			if c, ok := r.waiters[v.Job.ID]; ok {
 				delete(r.waiters, v.Job.ID)
 				c <- v
@@ -46,7 +63,7 @@
 		}
 		took := r.clock.Now().Sub(start)
 		r.mu.Unlock()
-		pause := max(minDispatchPause, dispatchPauseFactor*took)
+		pause := pauseAfterDispatch(took, len(verdicts))
 		r.dispatchPause.Store(int64(pause))
 		if !sleep(ctx, pause) {
 			return nil
