Don't refuse the repetition of an admitted request for the share

Cause: a job that is submitted again to find another upstream went through the check of the workspace's share once more, and the share had been used up in the meantime, by the job itself among others. The request may have run then, so the refusal was a 502. A repetition is bounded by the retry budget and the route's attempts; the share was decided when the request was admitted.

--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -191,8 +191,8 @@
 // service waits. A retry that is already late is refused when its workspace is
 // oversubscribed, so that the share goes to requests that can still be on time.
 func (p *Planner) enforceShare(now time.Time, j *Job) (Verdict, bool) {
-	if p.engines[j.Service] == nil {
-		return Verdict{}, false
+	if p.engines[j.Service] == nil || len(j.Tried) > 0 {
+		return Verdict{}, false // A job that was admitted keeps its admission when it is retried.
 	}
 	over := p.usage.exceedsShare(now, j.Workspace, 1)
 	if j.isRetry && p.usage.isOversubscribed(now, j.Workspace) && p.isLate(now, j) {
