Admit a workspace's requests at each entry's part of its share

The one that got least reached the fleet through one or two entries, the one that got most through all.

Cause: every entry compared the share with the sum of what all entries had admitted within four seconds, by reports 350 ms old with 29 entries. When the window moved on, all of them found room at the same time and sent until the next reports: up to three shares for a workspace behind all entries, then seconds of almost nothing. A workspace behind one entry had exact figures and never more than its share. The last report of a silent entry denied its workspaces their share elsewhere for up to 2 s. Class of fault: admission control on a shared sum that is late; the overshoot grows with demand, entries and the reports' age.

Each entry has a token bucket for each workspace now. Its rate is the max-min share times the part of the workspace's recent demand that reached this entry, so the rates of all entries add up to the share with reports of any age, and an entry that takes over a silent one's callers admits from their first request on. Demand changes slowly compared with what was admitted, which is what made the sums stale. What is admitted beyond the share at engines with spare time has a bucket as well.

--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -20,7 +20,8 @@
 	Deadline     time.Time
 	Tried        []cleat.UpstreamID // Upstreams of earlier attempts that failed.
 
-	isRetry       bool // The caller was refused before.
+	charged       *credit // Credit that the job was charged to; nil if none.
+	isRetry       bool    // The caller was refused before.
 	upstream      *upstream
 	prefill       int // Prompt tokens that the upstream has to prefill.
 	memory        int // Tokens that the job takes of the engine's memory.
@@ -80,3 +81,20 @@
 // costUnits is the part of the fleet's capacity that a job takes: a prompt token
 // counts once, an output token twice.
 func (j *Job) costUnits() int { return max(1, j.PromptTokens+2*j.OutputTokens) }
+
+// charge takes the job's cost from a credit; nil is an unlimited one.
+func (j *Job) charge(c *credit) {
+	if c == nil {
+		return
+	}
+	c.units -= float64(j.costUnits())
+	j.charged = c
+}
+
+// refund gives back what the job was charged, if anything.
+func (j *Job) refund() {
+	if j.charged != nil {
+		j.charged.units += float64(j.costUnits())
+		j.charged = nil
+	}
+}
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -146,6 +146,7 @@
 	}
 	v, decided := p.decide(now, j)
 	if decided && !v.Placed() {
+		j.refund()
 		p.refusals.record(now, j)
 	}
 	return v, decided
@@ -194,15 +195,16 @@
 	if p.engines[j.Service] == nil || len(j.Tried) > 0 {
 		return Verdict{}, false // A job that was admitted keeps its admission when it is retried.
 	}
-	over := p.usage.exceedsShare(now, j.Workspace, 1)
 	if j.isRetry && p.usage.isOversubscribed(now, j.Workspace) && p.isLate(now, j) {
 		return Verdict{Job: j, Reason: ReasonLateRetry, RetryAfter: p.shareRetryAfter(now, j)}, true
 	}
-	if !over {
+	if c := p.usage.credit(now, j.Workspace); c.available() {
+		j.charge(c)
 		return Verdict{}, false
 	}
-	if !p.isBehindQueue(j) && !p.usage.exceedsShare(now, j.Workspace, maxAdmittedShares) {
+	if c := p.usage.spareCredit(now, j.Workspace); c.available() && !p.isBehindQueue(j) {
 		if u := p.chooseUpstream(now, j); u != nil && u.prefillUtilization(now, 0) <= maxOverShareUtilization {
+			j.charge(c)
 			return p.assign(now, j, u), true
 		}
 	}
@@ -224,10 +226,6 @@
 	return least + time.Duration(hashToUnit(j.ID)*float64(most-least))
 }
 
-// maxAdmittedShares bounds what is admitted for a workspace in total, as a multiple
-// of its share, while all workspaces together request more than the capacity.
-const maxAdmittedShares = 1.5
-
 // isBehindQueue reports whether jobs of the same service wait already.
 func (p *Planner) isBehindQueue(j *Job) bool {
 	return slices.ContainsFunc(p.waiting, func(w *Job) bool { return w.Service == j.Service })
@@ -260,6 +258,7 @@
 	loads := make(map[cleat.ServiceName]serviceLoad)
 	for _, j := range p.dispatchOrder(now) {
 		if !p.hasUsableUpstream(j) {
+			j.refund()
 			verdicts = append(verdicts, Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetryAfter / 4})
 			continue
 		}
@@ -276,6 +275,7 @@
 			loads[j.Service] = l
 		}
 		if v, refused := p.checkOverload(now, j, l, ahead[j.Service]); refused {
+			j.refund()
 			p.refusals.record(now, j)
 			verdicts = append(verdicts, v)
 			continue
@@ -373,5 +373,6 @@
 
 // CancelWaiting removes a waiting job whose caller left.
 func (p *Planner) CancelWaiting(j *Job) {
+	j.refund()
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Job) bool { return w == j })
 }
--- a/policy/place/planner_test.go
+++ b/policy/place/planner_test.go
@@ -364,8 +364,10 @@
 		r.ApplyReport(r.now, "other", &cleat.PlacementReport{Seq: 1, Usage: []cleat.WorkspaceUsage{{Workspace: "w", RequestedTokens: 300, AdmittedTokens: 200}}})
 		r.now = r.now.Add(time.Second)
 		r.submit(r.prompt("w", 1, 0, 900, 50))
+		const rate = 1000 * 11200.0 / 11500 // This entry's part of the share.
 		Expect(r.OversubscribedUsage(r.now)).To(Equal([]place.ShareUsage{{
-			Workspace: "w", Share: 4000, Requested: 11200, Admitted: 10200, Started: 5100, RequestedElsewhere: 300, AdmittedElsewhere: 200, ReportAge: time.Second,
+			Workspace: "w", Share: 4000, Requested: 11200, Admitted: 10200, Started: 5100, RequestedElsewhere: 300, AdmittedElsewhere: 200,
+			Rate: rate, Credit: 1000 - 5100 + rate, ReportAge: time.Second,
 		}}))
 	})
 
--- /dev/null
+++ b/policy/place/share.go
@@ -0,0 +1,117 @@
+package place
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Each entry admits requests for a workspace at a rate of its own: the part of the
+// workspace's share that corresponds to the entry's part of the workspace's demand.
+// The rates of all entries add up to the share even while reports are late. If each
+// entry compared the share with the sum of what all entries admitted, all of them
+// would send at once what they may send together.
+
+// creditLimit is the time whose rate a credit may accumulate. It bounds bursts to a
+// fraction of the accounting window.
+const creditLimit = time.Second
+
+// credit is a token bucket of cost units. The job that uses it up is still admitted
+// and leaves a debt: otherwise large jobs would never fit beside small ones.
+type credit struct {
+	units    float64
+	refilled time.Time // Zero before the first refill.
+}
+
+// refill adds what has accrued since the last refill, at a rate in units per second.
+func (c *credit) refill(now time.Time, rate float64) {
+	limit := rate * creditLimit.Seconds()
+	if c.refilled.IsZero() {
+		c.units = limit
+	} else {
+		c.units = min(c.units+rate*now.Sub(c.refilled).Seconds(), limit)
+	}
+	c.refilled = now
+}
+
+// available reports whether a job may be admitted. A nil credit is unlimited.
+func (c *credit) available() bool { return c == nil || c.units > 0 }
+
+// spareShares is what may be admitted for a workspace beyond its share while engines
+// have spare time, as a multiple of the share.
+const spareShares = 0.5
+
+// credit returns the credit of a workspace within its share, or nil if the capacity is
+// not known.
+func (u *usageTable) credit(now time.Time, w cleat.WorkspaceID) *credit {
+	if u.capacity == 0 {
+		return nil
+	}
+	r := u.row(now, w)
+	r.credit.refill(now, u.localRate(now, r))
+	return &r.credit
+}
+
+// spareCredit returns the credit of a workspace beyond its share.
+func (u *usageTable) spareCredit(now time.Time, w cleat.WorkspaceID) *credit {
+	r := u.row(now, w)
+	r.spareCredit.refill(now, spareShares*u.localRate(now, r))
+	return &r.spareCredit
+}
+
+// localRate returns the rate at which this entry may admit jobs for a workspace, in
+// cost units per second.
+func (u *usageTable) localRate(now time.Time, r *workspaceUsage) float64 {
+	requested := float64(sum(r.requested))
+	if requested == 0 {
+		return 0
+	}
+	return min(u.share(now), u.capacity) / u.window.Seconds() * requested / (requested + float64(r.peers.requested))
+}
+
+// shareInterval is how long the max-min share is reused.
+const shareInterval = 50 * time.Millisecond
+
+// share returns the max-min share of a workspace in a window, in cost units.
+func (u *usageTable) share(now time.Time) float64 {
+	if now.Sub(u.fairShareAt) >= shareInterval {
+		u.fairShareAt, u.fairShare = now, u.maxMinShare(now)
+	}
+	return u.fairShare
+}
+
+// oversubscribedShares is the demand, as a multiple of the share, above which the
+// callers of a workspace are assumed to compete with each other.
+const oversubscribedShares = 1.25
+
+// isOversubscribed reports whether a workspace recently requested much more than its
+// share.
+func (u *usageTable) isOversubscribed(now time.Time, w cleat.WorkspaceID) bool {
+	r := u.row(now, w)
+	return u.capacity > 0 && float64(sum(r.requested)+r.peers.requested) > oversubscribedShares*u.share(now)
+}
+
+// maxMinShare returns the share of a workspace in a window, in cost units: what
+// workspaces with a lower demand leave unused is divided evenly among the others. It
+// is infinite when the capacity covers all demand.
+func (u *usageTable) maxMinShare(now time.Time) float64 {
+	requested := make([]float64, 0, len(u.rows))
+	for w := range u.rows {
+		r := u.row(now, w)
+		if n := sum(r.requested) + r.peers.requested; n > 0 {
+			requested = append(requested, float64(n))
+		}
+	}
+	slices.Sort(requested)
+	remaining := u.capacity
+	for i, n := range requested {
+		equalShare := remaining / float64(len(requested)-i)
+		if n > equalShare {
+			return equalShare
+		}
+		remaining -= n
+	}
+	return math.Inf(1)
+}
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -1,9 +1,6 @@
 package place
 
 import (
-	"math"
-	"slices"
-	"strings"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -47,6 +44,8 @@
 	requested, admitted, started [windowBuckets]int
 	peers                        peerUsage // At other entries.
 	newest                       int64     // Number of the newest bucket.
+	credit                       credit    // Within the workspace's share.
+	spareCredit                  credit    // Beyond the share, at engines with spare time.
 }
 
 func (u *workspaceUsage) advance(bucket int64) {
@@ -124,106 +123,3 @@
 	}
 	return list
 }
-
-// fairShareInterval is how long the max-min share is reused.
-const fairShareInterval = 50 * time.Millisecond
-
-// exceedsShare reports whether what was admitted for a workspace has reached a
-// multiple of its max-min share of the capacity. The job that crosses the share is
-// still sent: otherwise large requests would never fit beside small ones.
-func (u *usageTable) exceedsShare(now time.Time, w cleat.WorkspaceID, multiple float64) bool {
-	if u.capacity == 0 {
-		return false
-	}
-	if now.Sub(u.fairShareAt) >= fairShareInterval {
-		u.fairShareAt, u.fairShare = now, u.maxMinShare(now)
-	}
-	return float64(u.admitted(now, w)) >= multiple*u.fairShare
-}
-
-// oversubscribedShares is the demand, as a multiple of the share, above which the
-// callers of a workspace are assumed to compete with each other.
-const oversubscribedShares = 1.25
-
-// isOversubscribed reports whether a workspace recently requested much more than its
-// share. It uses the share that exceedsShare last computed.
-func (u *usageTable) isOversubscribed(now time.Time, w cleat.WorkspaceID) bool {
-	r := u.row(now, w)
-	return u.capacity > 0 && float64(sum(r.requested)+r.peers.requested) > oversubscribedShares*u.fairShare
-}
-
-// maxMinShare returns the share of a workspace in a window, in cost units: what
-// workspaces with a lower demand leave unused is divided evenly among the others. It
-// is infinite when the capacity covers all demand.
-func (u *usageTable) maxMinShare(now time.Time) float64 {
-	requested := make([]float64, 0, len(u.rows))
-	for w := range u.rows {
-		r := u.row(now, w)
-		if n := sum(r.requested) + r.peers.requested; n > 0 {
-			requested = append(requested, float64(n))
-		}
-	}
-	slices.Sort(requested)
-	remaining := u.capacity
-	for i, n := range requested {
-		equalShare := remaining / float64(len(requested)-i)
-		if n > equalShare {
-			return equalShare
-		}
-		remaining -= n
-	}
-	return math.Inf(1)
-}
-
-// ShareUsage is what one entry knows about a workspace's use of the capacity, in cost
-// units over the accounting window.
-type ShareUsage struct {
-	Workspace                             cleat.WorkspaceID
-	Share                                 float64       // Of the whole fleet's capacity; infinite when it covers all demand.
-	Requested, Admitted, Started          int           // At this entry; started requests have a first event.
-	RequestedElsewhere, AdmittedElsewhere int           // At other entries, by their last reports.
-	ReportAge                             time.Duration // Age of the oldest report that counts.
-}
-
-// usage returns the use of a workspace, without ReportAge. It uses the share that
-// exceedsShare last computed.
-func (u *usageTable) usage(now time.Time, w cleat.WorkspaceID) ShareUsage {
-	r := u.row(now, w)
-	return ShareUsage{
-		Workspace: w, Share: u.fairShare, Requested: sum(r.requested), Admitted: sum(r.admitted), Started: sum(r.started),
-		RequestedElsewhere: r.peers.requested, AdmittedElsewhere: r.peers.admitted,
-	}
-}
-
-// ShareUsage returns what the planner knows about the use of one workspace.
-func (p *Planner) ShareUsage(now time.Time, w cleat.WorkspaceID) ShareUsage {
-	s := p.usage.usage(now, w)
-	s.ReportAge = p.oldestReport(now)
-	return s
-}
-
-// OversubscribedUsage returns the use of the workspaces that recently requested more
-// than their share, some of it at this entry, sorted by name.
-func (p *Planner) OversubscribedUsage(now time.Time) []ShareUsage {
-	if p.usage.capacity == 0 {
-		return nil
-	}
-	var list []ShareUsage
-	for w := range p.usage.rows {
-		s := p.ShareUsage(now, w)
-		if s.Requested > 0 && float64(s.Requested+s.RequestedElsewhere) > s.Share {
-			list = append(list, s)
-		}
-	}
-	slices.SortFunc(list, func(a, b ShareUsage) int { return strings.Compare(string(a.Workspace), string(b.Workspace)) })
-	return list
-}
-
-// oldestReport returns the age of the oldest report of another entry.
-func (p *Planner) oldestReport(now time.Time) time.Duration {
-	oldest := time.Duration(0)
-	for _, q := range p.peers {
-		oldest = max(oldest, now.Sub(q.receivedAt))
-	}
-	return oldest
-}
--- a/role/proxy/load.go
+++ b/role/proxy/load.go
@@ -40,7 +40,7 @@
 // accounting window.
 func shareFields(u *place.ShareUsage) []any {
 	return []any{
-		"share", int64(min(u.Share, maxLoggedShare)), "requested", u.Requested, "admitted", u.Admitted, "started", u.Started,
+		"share", int64(min(u.Share, maxLoggedShare)), "rate", int64(u.Rate), "credit", int64(u.Credit), "requested", u.Requested, "admitted", u.Admitted, "started", u.Started,
 		"requested_elsewhere", u.RequestedElsewhere, "admitted_elsewhere", u.AdmittedElsewhere, "oldest_report", u.ReportAge.Round(time.Millisecond),
 	}
 }
