Don't count what no upstream started against a workspace's share

Of 267 requests that its entry placed, 174 were never connected for lack of descriptors, others were answered 500 and repeated, or their callers had left before the entry read them. FAIR compares what runs.

Cause: a job counted from the moment it was placed, whatever became of it, and once more for each further attempt. It is now given back when its attempt ends without a first event, and charged when it is placed again. A job whose caller leaves after it was sent still counts, since the upstream may have prefilled its prompt; OutcomeNotSent tells the two apart.

Specs in share_test.go, for requests that fail and that are not sent: refused after 1.5 shares before, all placed now.

--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -41,14 +41,21 @@
 	OutcomeFull                // The upstream did not run it for lack of capacity.
 	OutcomeUnreachable         // No connection, or the connection was lost.
 	OutcomeCanceled            // The caller left or its deadline passed.
+	OutcomeNotSent             // As OutcomeCanceled, before the request was sent.
 )
 
-// RecordEnd removes a sent job that ended and records its outcome for the upstream.
+// RecordEnd removes a sent job that ended and records its outcome for the upstream. A
+// job that was not started doesn't count against its workspace's share; one whose caller
+// left counts, as the upstream may have prefilled its prompt.
 func (p *Planner) RecordEnd(now time.Time, j *Job, o Outcome) {
 	u := j.upstream
 	if u == nil {
 		return
 	}
+	if !j.hasFirstEvent && o != OutcomeCanceled {
+		j.refund()
+		p.usage.addAdmitted(now, j.Workspace, -j.costUnits())
+	}
 	u.removeJob(j)
 	delete(p.jobs, j.ID)
 	switch o {
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -192,8 +192,12 @@
 // service waits. A retry that is already late is refused when its workspace is
 // oversubscribed, so that the share goes to requests that can still be on time.
 func (p *Planner) enforceShare(now time.Time, j *Job) (Verdict, bool) {
-	if p.engines[j.Service] == nil || len(j.Tried) > 0 {
-		return Verdict{}, false // A job that was admitted keeps its admission when it is retried.
+	if p.engines[j.Service] == nil {
+		return Verdict{}, false
+	}
+	if len(j.Tried) > 0 { // A job that was admitted keeps its admission when it is retried.
+		j.charge(p.usage.credit(now, j.Workspace))
+		return Verdict{}, false
 	}
 	if j.isRetry && p.usage.isOversubscribed(now, j.Workspace) && p.isLate(now, j) {
 		return Verdict{Job: j, Reason: ReasonLateRetry, RetryAfter: p.shareRetryAfter(now, j)}, true
--- a/policy/place/share_test.go
+++ b/policy/place/share_test.go
@@ -30,12 +30,28 @@
 	}
 
 	// FAIR on pastor-andino-grown: connections that failed used up the share.
-	It("don't count requests that no upstream started", func() {
+	for name, outcome := range map[string]place.Outcome{
+		"that fail": place.OutcomeFailed, "that are not sent": place.OutcomeNotSent,
+	} {
+		It("don't count requests "+name, func() {
+			r := newRig(40, 0, tokensPerSec)
+			crowd(r, func(j *place.Job, v place.Verdict) {
+				Expect(v.Placed()).To(BeTrue())
+				r.RecordEnd(r.now, j, outcome)
+			}, 4*time.Second)
+		})
+	}
+
+	It("count requests whose callers leave after they were sent", func() {
 		r := newRig(40, 0, tokensPerSec)
+		refused := 0
 		crowd(r, func(j *place.Job, v place.Verdict) {
-			Expect(v.Placed()).To(BeTrue())
+			if !v.Placed() {
+				refused++
+			}
 			r.RecordEnd(r.now, j, place.OutcomeCanceled)
 		}, 4*time.Second)
+		Expect(refused).To(BeNumerically(">", 200))
 	})
 
 	// Callers got 502 over_share when an admitted request was to be repeated.
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -55,12 +55,14 @@
 	u.newest = max(u.newest, bucket)
 }
 
+// sum adds up the buckets. It is not negative: what was taken back may have been
+// counted in a bucket that is gone.
 func sum(buckets [windowBuckets]int) int {
 	n := 0
 	for _, b := range buckets {
 		n += b
 	}
-	return n
+	return max(n, 0)
 }
 
 // usageTable accounts for the workspaces' use of capacity.
@@ -95,6 +97,7 @@
 	r.requested[r.newest%windowBuckets] += units
 }
 
+// addAdmitted adds units, or takes back those of a job that was not started.
 func (u *usageTable) addAdmitted(now time.Time, w cleat.WorkspaceID, units int) {
 	r := u.row(now, w)
 	r.admitted[r.newest%windowBuckets] += units
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		outcome := place.OutcomeUnreachable
 		if x.ctx.Err() != nil {
-			outcome = place.OutcomeCanceled
+			outcome = place.OutcomeNotSent
 		}
 		x.role.recordEnd(x.job, outcome)
 		x.logDecision("not_connected", "upstream", u.Upstream, "address", u.Address, "err", err)
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -44,7 +44,7 @@
 			return
 		}
 		if x.ctx.Err() != nil {
-			x.role.recordEnd(x.job, place.OutcomeCanceled)
+			x.role.recordEnd(x.job, place.OutcomeNotSent)
 			x.endCanceled()
 			return
 		}
--- a/role/proxy/wait.go
+++ b/role/proxy/wait.go
@@ -108,7 +108,7 @@
 	r.planner.CancelWaiting(j)
 	select {
 	case <-c:
-		r.planner.RecordEnd(r.clock.Now(), j, place.OutcomeCanceled)
+		r.planner.RecordEnd(r.clock.Now(), j, place.OutcomeNotSent)
 	default:
 	}
 	return place.Verdict{}, false
