Don't take an upstream's error for the first event of an answer

Cause: relayBuffered recorded the first bytes of every complete answer before it looked at the status. An error ends the attempt without a first event now. 4xx answers of an upstream remain answers.

TestErrorAnswerIsNoFirstEvent fails with the old order: 5,000 cost units started for a 500 and a 503, none now.

--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -154,15 +154,11 @@
 		return x.relayUnbuffered(u, p, conn, resp, body), nil
 	}
 	x.releaseConn(p, conn, resp)
-	x.recordFirstBytes()
 	b := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body}
-	if resp.StatusCode < http.StatusInternalServerError && !impliesNotRun(resp.StatusCode) {
-		x.role.recordEnd(x.job, place.OutcomeServed)
+	if x.recordAnswer(resp.StatusCode) {
 		x.deliver(b)
 		return resultDone, nil
 	}
-	x.mayHaveRun = true
-	x.role.recordEnd(x.job, place.OutcomeFailed)
 	x.logDecision("upstream_failure", "upstream", u.Upstream, "status", resp.StatusCode, "attempts", x.attempts)
 	if impliesNotRun(resp.StatusCode) {
 		return resultFailed, nil
@@ -170,6 +166,20 @@
 	return resultFailed, b
 }
 
+// recordAnswer ends an attempt with a complete answer; it returns false if the upstream
+// failed. An error is no first event: it comes sooner than one, and usually instead of
+// the work.
+func (x *exchange) recordAnswer(status int) bool {
+	if status >= http.StatusInternalServerError || impliesNotRun(status) {
+		x.mayHaveRun = true
+		x.role.recordEnd(x.job, place.OutcomeFailed)
+		return false
+	}
+	x.recordFirstBytes()
+	x.role.recordEnd(x.job, place.OutcomeServed)
+	return true
+}
+
 // recordFirstBytes records the first bytes of an answer, once per attempt.
 func (x *exchange) recordFirstBytes() {
 	if !x.answerStarted {
--- a/role/proxy/proxy_test.go
+++ b/role/proxy/proxy_test.go
@@ -1,8 +1,17 @@
 package proxy
 
 import (
+	"context"
+	"io"
+	"net/http"
 	"testing"
 	"time"
+
+	"github.com/charmbracelet/log"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/place"
+	"marigoldcleat.example/cleat/role/telem"
 )
 
 func TestShedFraction(t *testing.T) {
@@ -67,3 +76,34 @@
 		})
 	}
 }
+
+// FAIR on pastor-andino-grown: errors that came within milliseconds counted as started
+// requests, and raised the learnt prefill rate.
+func TestErrorAnswerIsNoFirstEvent(t *testing.T) {
+	cases := map[string]struct{ status, started int }{
+		"an answer":             {http.StatusOK, 5000},
+		"an answer 4xx":         {http.StatusNotFound, 5000},
+		"an error":              {http.StatusInternalServerError, 0},
+		"an error not to relay": {http.StatusServiceUnavailable, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock, logger := cleat.SystemClock{}, log.New(io.Discard)
+			r := &Role{clock: clock, log: logger, decisions: telem.NewDecisionLog(logger), planner: place.New(place.Config{}), wake: make(chan struct{}, 1)}
+			r.planner.SetServices([]cleat.Service{{Name: "s", Engine: &cleat.ModelEngine{Slots: 1, MemoryTokens: 1e6}}}, 1e6)
+			u := cleat.UpstreamRecord{Upstream: "u", Service: "s", Phase: cleat.UpstreamReady}
+			r.planner.SetUpstreams([]cleat.UpstreamRecord{u})
+			now := clock.Now()
+			x := &exchange{role: r, ctx: context.Background(), job: &place.Job{
+				Service: "s", Workspace: "w", PromptTokens: 5000, Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(time.Second),
+			}}
+			if v, _ := r.submit(x.job); !v.Placed() {
+				t.Fatal("the job was not placed")
+			}
+			x.recordAnswer(c.status)
+			if got := r.planner.ShareUsage(clock.Now(), "w").Started; got != c.started {
+				t.Errorf("started: got %d cost units, want %d", got, c.started)
+			}
+		})
+	}
+}
