Accept no more connections than are soon served

Cause: one goroutine accepts whatever is in the listener's queue and starts a goroutine for each connection; when the processor is short, these wait in the run queue with their descriptors and buffers, thousands of them beside about 1,000 that are served. Each failed accept then costs a pause, in which more callers queue up.

At most 64 accepted connections wait for a worker now; the others stay in the listener's queue.

--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -22,6 +22,7 @@
 	DefaultLingerTimeout = 500 * time.Millisecond // A few round trips to distant callers.
 	DefaultMaxHeadBytes  = 64 << 10
 	DefaultMaxDrainBytes = 256 << 10
+	DefaultMaxPending    = 64
 )
 
 // Config holds the settings of a Server.
@@ -31,6 +32,7 @@
 	LingerTimeout time.Duration // Time to read the rest of a request before the connection is closed.
 	MaxHeadBytes  int64         // Maximum size of a request's head; a few KiB more may pass, because reads are buffered.
 	MaxDrainBytes int64         // Limit on the unread body bytes that are discarded to keep the connection open.
+	MaxPending    int           // Accepted connections that no worker has started to serve; further ones stay in the listener's queue.
 }
 
 // Defaults sets the fields that are zero.
@@ -40,11 +42,12 @@
 	cleat.SetDefault(&c.LingerTimeout, DefaultLingerTimeout)
 	cleat.SetDefault(&c.MaxHeadBytes, int64(DefaultMaxHeadBytes))
 	cleat.SetDefault(&c.MaxDrainBytes, int64(DefaultMaxDrainBytes))
+	cleat.SetDefault(&c.MaxPending, DefaultMaxPending)
 }
 
 // Validate returns a trace.BadParameter error if a field is negative.
 func (c *Config) Validate() error {
-	if c.HeadTimeout < 0 || c.IdleTimeout < 0 || c.LingerTimeout < 0 || c.MaxHeadBytes < 0 || c.MaxDrainBytes < 0 {
+	if c.HeadTimeout < 0 || c.IdleTimeout < 0 || c.LingerTimeout < 0 || c.MaxHeadBytes < 0 || c.MaxDrainBytes < 0 || c.MaxPending < 0 {
 		return trace.BadParameter("httpd.Config: a timeout or bound is negative")
 	}
 	return nil
@@ -63,6 +66,7 @@
 	handler     Handler
 	log         *log.Logger
 	accepted    chan net.Conn // Hands accepted connections to idle workers.
+	pending     chan struct{} // Has an element for each accepted connection that no worker has started to serve.
 	idleWorkers atomic.Int64  // Workers that wait for a connection.
 	acceptedN   atomic.Int64  // Connections accepted since the start.
 	failedN     atomic.Int64  // Failed accepts since the start.
@@ -83,7 +87,7 @@
 	}
 	return &Server{
 		cfg: cfg, handler: handler, log: logger, accepted: make(chan net.Conn), quit: make(chan struct{}),
-		conns: make(map[*conn]struct{}), connClosed: make(chan struct{}, 1),
+		conns: make(map[*conn]struct{}), connClosed: make(chan struct{}, 1), pending: make(chan struct{}, cfg.MaxPending),
 	}, nil
 }
 
@@ -126,6 +130,7 @@
 		case err == nil:
 			backoff = 0
 			s.acceptedN.Add(1)
+			s.pending <- struct{}{}
 			s.dispatchConn(c)
 		case s.closing.Load():
 			return nil
@@ -153,6 +158,7 @@
 func (s *Server) runWorker(c net.Conn) {
 	w := newConn(s)
 	for {
+		<-s.pending
 		w.reset(c)
 		s.addConn(w)
 		w.serve()
--- a/link/httpd/server_test.go
+++ b/link/httpd/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -342,3 +343,44 @@
 	}
 	return c.TCPConn.Read(b)
 }
+
+// eagerListener is a listener with a queue of connections on which nothing arrives.
+type eagerListener struct {
+	net.Listener
+	server     atomic.Pointer[httpd.Server]
+	size       int64         // Connections in the queue.
+	accepted   int64         // Connections accepted so far.
+	maxPending atomic.Int64  // The most that were accepted and not served yet.
+	done       chan struct{} // Closed when the queue is empty.
+}
+
+func (l *eagerListener) Accept() (net.Conn, error) {
+	for l.server.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	l.maxPending.Store(max(l.maxPending.Load(), l.accepted-int64(l.server.Load().Conns())))
+	if l.accepted == l.size {
+		close(l.done)
+		return l.Listener.Accept()
+	}
+	l.accepted++
+	local, _ := net.Pipe()
+	return local, nil
+}
+
+var _ = Describe("Server with more connections than it can serve", func() {
+	// FAIR on pastor-andino-grown: a busy entry accepted connections until it had no
+	// descriptors left for upstreams.
+	It("accepts no further ones while too many are not served yet", func() {
+		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+		l := &eagerListener{size: 2000, done: make(chan struct{})}
+		cfg := httpd.Config{MaxPending: 8}
+		r := newTestServer(cfg, func(inner net.Listener) net.Listener {
+			l.Listener = inner
+			return l
+		})
+		l.server.Store(r.server)
+		Eventually(l.done, waitTimeout).Should(BeClosed())
+		Expect(l.maxPending.Load()).To(BeNumerically("<=", cfg.MaxPending+1))
+	})
+})
