Refuse the requests of a crowd first when an entry is short of processor time

Callers of every workspace behind a busy entry were refused as entry_busy, at random, whether or not their workspace had used its share; and those of a workspace that was owed its share had as little chance as the crowd around them.

Cause: the fraction to refuse depended on the lag alone. From a lag of 100 ms on, requests beyond their workspace's share at this entry are refused now before their bodies are read, with a Retry-After of 1 to 4 s, since the entry won't have caught up sooner. Requests within a share are refused by a fraction that rises from a fifth to three fifths of their latency objective: 200 to 600 ms for one of a second, where it was 100 to 300 ms for all, and the same as before for one of half a second. Refused requests count towards their workspace's demand, without which its share would be given to other entries.

Tests: TestBusyEntryRefusesACrowdFirst (before, all were refused by the same fraction), TestShedFraction.

--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -20,6 +20,7 @@
 	Deadline     time.Time
 	Tried        []cleat.UpstreamID // Upstreams of earlier attempts that failed.
 
+	counted       bool    // In the workspace's demand.
 	charged       *credit // Credit that the job was charged to; nil if none.
 	isRetry       bool    // The caller was refused before.
 	upstream      *upstream
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -141,7 +141,7 @@
 // it returns its verdict, or false when the job waits.
 func (p *Planner) Submit(now time.Time, j *Job) (Verdict, bool) {
 	if len(j.Tried) == 0 {
-		p.usage.addRequested(now, j.Workspace, j.costUnits())
+		p.countRequest(now, j)
 		p.refusals.restoreArrival(j)
 	}
 	v, decided := p.decide(now, j)
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -61,6 +61,21 @@
 	return &r.spareCredit
 }
 
+// HasCredit counts the request of a job that may be submitted later, and reports whether
+// it is within the workspace's share at this entry.
+func (p *Planner) HasCredit(now time.Time, j *Job) bool {
+	p.countRequest(now, j)
+	return p.engines[j.Service] == nil || p.usage.credit(now, j.Workspace).available()
+}
+
+// countRequest adds a job to its workspace's demand, once.
+func (p *Planner) countRequest(now time.Time, j *Job) {
+	if !j.counted {
+		j.counted = true
+		p.usage.addRequested(now, j.Workspace, j.costUnits())
+	}
+}
+
 // localRate returns the rate at which this entry may admit jobs for a workspace, in
 // cost units per second.
 func (u *usageTable) localRate(now time.Time, r *workspaceUsage) float64 {
--- a/role/proxy/proxy_test.go
+++ b/role/proxy/proxy_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"math"
+	"math/rand"
 	"net/http"
 	"runtime"
 	"sync"
@@ -17,25 +19,70 @@
 )
 
 func TestShedFraction(t *testing.T) {
+	const second = time.Second
 	cases := map[string]struct {
-		lag      time.Duration
-		fraction float64
+		lag, objective time.Duration
+		fraction       float64
 	}{
-		"no lag":                               {0, 0},
-		"lag up to which nothing is refused":   {lagShedNone, 0},
-		"halfway between the limits":           {(lagShedNone + lagShedAll) / 2, 0.5},
-		"lag from which everything is refused": {lagShedAll, 1},
-		"lag above both limits":                {time.Minute, 1},
+		"no lag":                               {0, second / 2, 0},
+		"lag up to which nothing is refused":   {100 * time.Millisecond, second / 2, 0},
+		"halfway between the limits":           {200 * time.Millisecond, second / 2, 0.5},
+		"lag from which everything is refused": {300 * time.Millisecond, second / 2, 1},
+		"lag above both limits":                {time.Minute, second / 2, 1},
+		"a longer objective":                   {300 * time.Millisecond, second, 0.25},
+		"no objective":                         {200 * time.Millisecond, 0, 0.5},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			if got := shedFraction(c.lag); got != c.fraction {
+			if got := shedFraction(c.lag, c.objective); math.Abs(got-c.fraction) > 1e-9 {
 				t.Errorf("shedFraction: got %v, want %v", got, c.fraction)
 			}
 		})
 	}
 }
 
+// FAIR on pastor-andino-grown: a busy entry refused whoever came, share or not.
+func TestBusyEntryRefusesACrowdFirst(t *testing.T) {
+	r := &Role{clock: cleat.SystemClock{}, planner: place.New(place.Config{}), rnd: rand.New(rand.NewSource(1))}
+	r.lag.epoch = time.Now()
+	r.lag.highWater.Store(int64(200 * time.Millisecond))
+	r.planner.SetServices([]cleat.Service{{Name: "model", Engine: &cleat.ModelEngine{Slots: 64, MemoryTokens: 1e6}}}, 1e4)
+	r.planner.SetUpstreams([]cleat.UpstreamRecord{{Upstream: "u", Service: "model", Phase: cleat.UpstreamReady}})
+	prompts := map[cleat.WorkspaceID]int{"crowd": 30000, "small": 10}
+	now := time.Now()
+	for i := range uint64(2) {
+		r.planner.Submit(now, &place.Job{
+			ID: i + 1, Service: "model", Workspace: "crowd", PromptTokens: prompts["crowd"], Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(time.Minute),
+		})
+	}
+	cases := map[string]struct {
+		workspace cleat.WorkspaceID
+		service   cleat.ServiceName
+		objective time.Duration
+		shed      int // Of 100 requests.
+	}{
+		"beyond its share":                {"crowd", "model", time.Second, 100},
+		"within its share":                {"small", "model", time.Second, 0},
+		"within, with a short objective":  {"small", "model", 300 * time.Millisecond, 100},
+		"a plain service, which has none": {"crowd", "desk", time.Second, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			shed := 0
+			for range 100 {
+				job := &place.Job{Service: c.service, Workspace: c.workspace, PromptTokens: prompts[c.workspace]}
+				x := &exchange{role: r, job: job, route: &cleat.Route{Target: c.objective}}
+				if _, ok := r.shouldShed(x); ok {
+					shed++
+				}
+			}
+			if shed != c.shed {
+				t.Errorf("refused %d of 100 requests, want %d", shed, c.shed)
+			}
+		})
+	}
+}
+
 func TestLastID(t *testing.T) {
 	cases := map[string]struct {
 		events, id string
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -26,7 +26,6 @@
 // run submits the request and sends it to upstreams until the caller has a final answer.
 func (x *exchange) run() {
 	x.role.recordRequest(x.service)
-	x.job = x.newJob()
 	for {
 		v, pending := x.role.submit(x.job)
 		if pending != nil || v.Placed() {
@@ -161,7 +160,12 @@
 func (x *exchange) randomRetryAfter() time.Duration {
 	x.role.mu.Lock()
 	defer x.role.mu.Unlock()
-	return minFullRetryAfter + time.Duration(x.role.rnd.Int63n(int64(maxFullRetryAfter-minFullRetryAfter)))
+	return x.role.randomDuration(minFullRetryAfter, maxFullRetryAfter)
+}
+
+// randomDuration returns a random duration between two bounds. The caller holds r.mu.
+func (r *Role) randomDuration(least, most time.Duration) time.Duration {
+	return least + time.Duration(r.rnd.Int63n(int64(most-least)))
 }
 
 // abortAnswer ends an answer that can't be completed in a way that doesn't look
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -57,11 +57,6 @@
 	if !x.resolveRoute() {
 		return
 	}
-	if r.shouldShed() {
-		r.shed.Add(1)
-		x.refuse(http.StatusServiceUnavailable, "entry_busy", x.randomRetryAfter())
-		return
-	}
 	timeout := x.route.Timeout
 	if x.info.TimeLeft > 0 {
 		timeout = min(timeout, x.info.TimeLeft)
@@ -69,6 +64,12 @@
 		timeout = min(timeout, defaultTimeout)
 	}
 	x.deadline = x.arrived.Add(timeout)
+	x.job = x.newJob()
+	if retryAfter, shed := r.shouldShed(x); shed {
+		r.shed.Add(1)
+		x.refuse(http.StatusServiceUnavailable, "entry_busy", retryAfter)
+		return
+	}
 	defer x.stopWatching()
 	size, ok := x.readBody()
 	defer r.heldBytes.Add(-size)
--- a/role/proxy/shed.go
+++ b/role/proxy/shed.go
@@ -7,13 +7,16 @@
 	"time"
 )
 
-// An entry that is short of processor time delays all requests. It refuses a fraction of
-// the new ones before it spends time on them: callers retry at another entry.
+// An entry that is short of processor time delays all requests. It refuses some of the
+// new ones before it spends time on them: first those of workspaces that have used their
+// share here, which a crowd has, then a fraction of the others.
 const (
 	lagInterval = 20 * time.Millisecond  // Between measurements.
 	lagDecay    = 0.85                   // Factor of the high-water mark at each measurement.
-	lagShedNone = 100 * time.Millisecond // Lag up to which nothing is refused: a fifth of a usual latency objective.
-	lagShedAll  = 300 * time.Millisecond // Lag from which all new requests are refused.
+	lagBusy     = 100 * time.Millisecond // Lag from which requests beyond a share are refused unread.
+	// lagShedNone and lagShedAll are the lag up to which no request within a share is
+	// refused, and that from which all are, as fractions of its latency objective.
+	lagShedNone, lagShedAll = 0.2, 0.6
 )
 
 // lagMeter measures how long a goroutine that is ready waits for the processor.
@@ -54,19 +57,35 @@
 	return nil
 }
 
-// shouldShed decides at random whether a new request is refused for lack of processor
-// time.
-func (r *Role) shouldShed() bool {
-	lag := r.lag.value(r.clock.Now())
-	if lag <= lagShedNone {
-		return false
+// shouldShed decides, at random for some, whether a new request is refused for lack of
+// processor time. It also returns the Retry-After of one that is.
+func (r *Role) shouldShed(x *exchange) (time.Duration, bool) {
+	now := r.clock.Now()
+	lag := r.lag.value(now)
+	if lag <= lagBusy {
+		return 0, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.rnd.Float64() < shedFraction(lag)
+	if !r.planner.HasCredit(now, x.job) {
+		return r.randomDuration(minBusyRetryAfter, maxBusyRetryAfter), true
+	}
+	return r.randomDuration(minFullRetryAfter, maxFullRetryAfter), r.rnd.Float64() < shedFraction(lag, x.route.Target)
 }
 
-// shedFraction returns the fraction of new requests to refuse at a lag.
-func shedFraction(lag time.Duration) float64 {
-	return min(max(float64(lag-lagShedNone)/float64(lagShedAll-lagShedNone), 0), 1)
+// minBusyRetryAfter and maxBusyRetryAfter bound the Retry-After of a caller whose
+// workspace has used its share at a busy entry: a load balancer may have chosen another
+// entry by then.
+const minBusyRetryAfter, maxBusyRetryAfter = time.Second, 4 * time.Second
+
+// shedFraction returns the fraction of new requests within a share to refuse at a lag,
+// by their latency objective.
+func shedFraction(lag, objective time.Duration) float64 {
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	return min(max((float64(lag)/float64(objective)-lagShedNone)/(lagShedAll-lagShedNone), 0), 1)
 }
+
+// defaultObjective is the latency objective assumed for a route that states none.
+const defaultObjective = 500 * time.Millisecond
