Divide the capacity evenly from a workspace's first requests on

Cause, as the model of the fleet shows: until an entry has heard of the others' new demand it took a workspace's whole share for its part, with a second's credit at once; and until the first accounting window has passed, what is requested in it looked as if the capacity covered it.

Demand is extrapolated to the window until the first one has passed. For a workspace that has just begun to send requests here, an entry takes at most an equal part of the share until the others have reported, and a credit starts with a tenth of a second's rate. A workspace behind one entry loses less than half a second's share by that.

--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -63,7 +63,9 @@
 		idleAt: make(map[cleat.UpstreamID]time.Time), timeline: make(map[int64][]func()),
 	}
 	for range entries {
-		m.entries = append(m.entries, newRig(engines, 0, tokensPerSec).Planner)
+		p := newRig(engines, 0, tokensPerSec).Planner
+		p.SetPeers(entries-1, m.reportInterval)
+		m.entries = append(m.entries, p)
 	}
 	return m
 }
@@ -263,4 +265,12 @@
 		m.run(20 * time.Second)
 		Expect(m.starved()).To(BeEmpty())
 	})
+
+	It("divide the capacity evenly when all callers come at once", func() {
+		m := overloadedFleet()
+		m.callers[0].rate *= 4
+		m.callers[2].rate *= 4
+		m.run(8 * time.Second)
+		Expect(m.starved()).To(BeEmpty())
+	})
 })
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -25,6 +25,12 @@
 	return m
 }
 
+// SetPeers sets from how many other entries reports come, and the time within which all
+// of them have reported a new demand.
+func (p *Planner) SetPeers(n int, delay time.Duration) {
+	p.usage.peers, p.usage.reportDelay = n, delay
+}
+
 // ApplyReport applies another entry's report. A report that is not newer than the
 // last one is dropped, unless the last one has expired.
 func (p *Planner) ApplyReport(now time.Time, from cleat.InstanceID, m *cleat.PlacementReport) {
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -14,9 +14,14 @@
 // entry compared the share with the sum of what all entries admitted, all of them
 // would send at once what they may send together.
 
-// creditLimit is the time whose rate a credit may accumulate. It bounds bursts to a
-// fraction of the accounting window.
-const creditLimit = time.Second
+const (
+	// creditLimit is the time whose rate a credit may accumulate. It bounds bursts to a
+	// fraction of the accounting window.
+	creditLimit = time.Second
+	// initialCredit is the time whose rate a credit starts with. It is short because
+	// the rate isn't known well until other entries have reported.
+	initialCredit = 100 * time.Millisecond
+)
 
 // credit is a token bucket of cost units. The job that uses it up is still admitted
 // and leaves a debt: otherwise large jobs would never fit beside small ones.
@@ -27,12 +32,11 @@
 
 // refill adds what has accrued since the last refill, at a rate in units per second.
 func (c *credit) refill(now time.Time, rate float64) {
-	limit := rate * creditLimit.Seconds()
-	if c.refilled.IsZero() {
-		c.units = limit
-	} else {
-		c.units = min(c.units+rate*now.Sub(c.refilled).Seconds(), limit)
+	since := initialCredit
+	if !c.refilled.IsZero() {
+		since = now.Sub(c.refilled)
 	}
+	c.units = min(c.units+rate*since.Seconds(), rate*creditLimit.Seconds())
 	c.refilled = now
 }
 
@@ -83,7 +87,11 @@
 	if recent == 0 {
 		return 0
 	}
-	return min(u.share(now), u.capacity) / u.window.Seconds() * recent / (recent + float64(r.peers.recent))
+	part := recent / (recent + float64(r.peers.recent))
+	if now.Sub(r.activeSince) < u.reportDelay {
+		part = min(part, 1/float64(1+u.peers)) // Other entries may have new requests of the workspace too.
+	}
+	return min(u.share(now), u.capacity) / u.window.Seconds() * part
 }
 
 // shareInterval is how long the max-min share is reused.
@@ -105,7 +113,7 @@
 // share.
 func (u *usageTable) isOversubscribed(now time.Time, w cleat.WorkspaceID) bool {
 	r := u.row(now, w)
-	return u.capacity > 0 && float64(sum(r.requested)+r.peers.requested) > oversubscribedShares*u.share(now)
+	return u.capacity > 0 && float64(u.demand(now, r)+r.peers.requested) > oversubscribedShares*u.share(now)
 }
 
 // maxMinShare returns the share of a workspace in a window, in cost units: what
@@ -115,7 +123,7 @@
 	requested := make([]float64, 0, len(u.rows))
 	for w := range u.rows {
 		r := u.row(now, w)
-		if n := sum(r.requested) + r.peers.requested; n > 0 {
+		if n := u.demand(now, r) + r.peers.requested; n > 0 {
 			requested = append(requested, float64(n))
 		}
 	}
--- a/policy/place/share_usage.go
+++ b/policy/place/share_usage.go
@@ -23,7 +23,7 @@
 func (u *usageTable) usage(now time.Time, w cleat.WorkspaceID) ShareUsage {
 	r := u.row(now, w)
 	return ShareUsage{
-		Workspace: w, Share: u.share(now), Requested: sum(r.requested), Admitted: sum(r.admitted), Started: sum(r.started),
+		Workspace: w, Share: u.share(now), Requested: u.demand(now, r), Admitted: sum(r.admitted), Started: sum(r.started),
 		RequestedElsewhere: r.peers.requested, AdmittedElsewhere: r.peers.admitted,
 		Rate: u.localRate(now, r), Credit: r.credit.units,
 	}
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -44,6 +44,7 @@
 	requested, admitted, started [windowBuckets]int
 	peers                        peerUsage // At other entries.
 	newest                       int64     // Number of the newest bucket.
+	activeSince                  time.Time // When requests came after none in the newest buckets.
 	credit                       credit    // Within the workspace's share.
 	spareCredit                  credit    // Beyond the share, at engines with spare time.
 }
@@ -86,6 +87,8 @@
 	capacity    float64 // Cost units that all engines can serve in a window; zero when not known.
 	fairShare   float64 // Max-min share as of fairShareAt.
 	fairShareAt time.Time
+	peers       int           // Other entries from which reports come.
+	reportDelay time.Duration // Time within which all of them have reported a new demand.
 }
 
 func newUsageTable(window time.Duration) usageTable {
@@ -107,6 +110,9 @@
 
 func (u *usageTable) addRequested(now time.Time, w cleat.WorkspaceID, units int) {
 	r := u.row(now, w)
+	if r.recent() == 0 {
+		r.activeSince = now
+	}
 	r.requested[r.newest%windowBuckets] += units
 }
 
@@ -127,12 +133,20 @@
 	return sum(r.admitted) + r.peers.admitted
 }
 
+// demand returns the cost units requested for a workspace at this entry in a window.
+// Until the first window has passed, it is extrapolated: otherwise the capacity would
+// seem to cover what is requested when all callers come at once after a start.
+func (u *usageTable) demand(now time.Time, r *workspaceUsage) int {
+	counted := min(max(now.Sub(u.epoch), u.window/windowBuckets), u.window)
+	return int(float64(sum(r.requested)) * float64(u.window) / float64(counted))
+}
+
 // report returns the usage at this entry, without that at other entries.
 func (u *usageTable) report(now time.Time) []cleat.WorkspaceUsage {
 	var list []cleat.WorkspaceUsage
 	for w := range u.rows {
 		r := u.row(now, w)
-		requested, admitted := sum(r.requested), sum(r.admitted)
+		requested, admitted := u.demand(now, r), sum(r.admitted)
 		if requested > 0 || admitted > 0 {
 			list = append(list, cleat.WorkspaceUsage{Workspace: w, RequestedTokens: uint32(requested), AdmittedTokens: uint32(admitted), RecentTokens: uint32(r.recent())})
 		}
--- a/role/proxy/mesh.go
+++ b/role/proxy/mesh.go
@@ -114,14 +114,15 @@
 				links = append(links, l)
 			}
 		}
+		interval := r.cfg.ReportInterval * time.Duration(max(1, len(links)/peersPerReportInterval))
+		r.planner.SetPeers(len(links), interval)
 		r.mu.Unlock()
 		for _, l := range links {
 			if err := l.Send(m); err != nil {
 				r.log.Debug("report not sent", "entry", l.Peer().Instance, "err", err)
 			}
 		}
-		factor := time.Duration(max(1, len(links)/peersPerReportInterval))
-		if !sleep(ctx, factor*r.cfg.ReportInterval) {
+		if !sleep(ctx, interval) {
 			return nil
 		}
 	}
