Don't refuse for the share while the capacity covers the demand

A bucket that serves a few requests a second is empty after one large request, whatever the workspace is owed. Max-min shares don't limit a workspace that asks for less.

A workspace whose demand is below the share is admitted without credit; what it uses is still charged, with a bounded debt, so that a crowd that starts there doesn't begin with a full bucket. Until the other entries have reported for the first time after a start, a third of them are assumed to have the demand of this one.

--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -273,4 +273,19 @@
 		m.run(8 * time.Second)
 		Expect(m.starved()).To(BeEmpty())
 	})
+
+	It("refuse nothing while the capacity covers what is requested", func() {
+		m := overloadedFleet()
+		for i := range m.callers {
+			m.callers[i].rate = min(m.callers[i].rate, 100_000/meanCost)
+		}
+		m.run(8 * time.Second)
+		refused := make(map[cleat.WorkspaceID]int)
+		for _, s := range m.seconds {
+			for w, c := range s {
+				refused[w] += c.refused
+			}
+		}
+		Expect(refused).To(HaveEach(0))
+	})
 })
--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -83,13 +83,12 @@
 // counts once, an output token twice.
 func (j *Job) costUnits() int { return max(1, j.PromptTokens+2*j.OutputTokens) }
 
-// charge takes the job's cost from a credit; nil is an unlimited one.
+// charge takes the job's cost from a credit, unless that is nil.
 func (j *Job) charge(c *credit) {
-	if c == nil {
-		return
+	if c != nil {
+		c.charge(float64(j.costUnits()))
+		j.charged = c
 	}
-	c.units -= float64(j.costUnits())
-	j.charged = c
 }
 
 // refund gives back what the job was charged, if anything.
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -196,17 +196,18 @@
 		return Verdict{}, false
 	}
 	if len(j.Tried) > 0 { // A job that was admitted keeps its admission when it is retried.
-		j.charge(p.usage.credit(now, j.Workspace))
+		c, _ := p.usage.withinShare(now, j.Workspace)
+		j.charge(c)
 		return Verdict{}, false
 	}
 	if j.isRetry && p.usage.isOversubscribed(now, j.Workspace) && p.isLate(now, j) {
 		return Verdict{Job: j, Reason: ReasonLateRetry, RetryAfter: p.shareRetryAfter(now, j)}, true
 	}
-	if c := p.usage.credit(now, j.Workspace); c.available() {
+	if c, ok := p.usage.withinShare(now, j.Workspace); ok {
 		j.charge(c)
 		return Verdict{}, false
 	}
-	if c := p.usage.spareCredit(now, j.Workspace); c.available() && !p.isBehindQueue(j) {
+	if c, ok := p.usage.withinSpare(now, j.Workspace); ok && !p.isBehindQueue(j) {
 		if u := p.chooseUpstream(now, j); u != nil && u.prefillUtilization(now, 0) <= maxOverShareUtilization {
 			j.charge(c)
 			return p.assign(now, j, u), true
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -26,8 +26,8 @@
 // credit is a token bucket of cost units. The job that uses it up is still admitted
 // and leaves a debt: otherwise large jobs would never fit beside small ones.
 type credit struct {
-	units    float64
-	refilled time.Time // Zero before the first refill.
+	units, limit float64
+	refilled     time.Time // Zero before the first refill.
 }
 
 // refill adds what has accrued since the last refill, at a rate in units per second.
@@ -36,40 +36,49 @@
 	if !c.refilled.IsZero() {
 		since = now.Sub(c.refilled)
 	}
-	c.units = min(c.units+rate*since.Seconds(), rate*creditLimit.Seconds())
+	c.limit = rate * creditLimit.Seconds()
+	c.units = min(c.units+rate*since.Seconds(), c.limit)
 	c.refilled = now
 }
 
-// available reports whether a job may be admitted. A nil credit is unlimited.
-func (c *credit) available() bool { return c == nil || c.units > 0 }
+// charge takes the cost of a job. The debt is bounded, since jobs of a workspace below
+// its share are admitted without credit.
+func (c *credit) charge(cost float64) {
+	c.units = max(c.units-cost, -max(cost, c.limit))
+}
 
 // spareShares is what may be admitted for a workspace beyond its share while engines
 // have spare time, as a multiple of the share.
 const spareShares = 0.5
 
-// credit returns the credit of a workspace within its share, or nil if the capacity is
+// withinShare reports whether a job of a workspace is within the workspace's share at
+// this entry. It returns the credit that the job is charged to; nil if the capacity is
 // not known.
-func (u *usageTable) credit(now time.Time, w cleat.WorkspaceID) *credit {
+func (u *usageTable) withinShare(now time.Time, w cleat.WorkspaceID) (*credit, bool) {
 	if u.capacity == 0 {
-		return nil
+		return nil, true
 	}
 	r := u.row(now, w)
 	r.credit.refill(now, u.localRate(now, r))
-	return &r.credit
+	return &r.credit, u.totalDemand(now, r) <= u.share(now) || r.credit.units > 0
 }
 
-// spareCredit returns the credit of a workspace beyond its share.
-func (u *usageTable) spareCredit(now time.Time, w cleat.WorkspaceID) *credit {
+// withinSpare does the same beyond the share.
+func (u *usageTable) withinSpare(now time.Time, w cleat.WorkspaceID) (*credit, bool) {
 	r := u.row(now, w)
 	r.spareCredit.refill(now, spareShares*u.localRate(now, r))
-	return &r.spareCredit
+	return &r.spareCredit, r.spareCredit.units > 0
 }
 
-// HasCredit counts the request of a job that may be submitted later, and reports whether
-// it is within the workspace's share at this entry.
-func (p *Planner) HasCredit(now time.Time, j *Job) bool {
+// IsWithinShare counts the request of a job that may be submitted later, and reports
+// whether it is within the workspace's share at this entry.
+func (p *Planner) IsWithinShare(now time.Time, j *Job) bool {
 	p.countRequest(now, j)
-	return p.engines[j.Service] == nil || p.usage.credit(now, j.Workspace).available()
+	if p.engines[j.Service] == nil {
+		return true
+	}
+	_, ok := p.usage.withinShare(now, j.Workspace)
+	return ok
 }
 
 // countRequest adds a job to its workspace's demand, once.
@@ -113,7 +122,7 @@
 // share.
 func (u *usageTable) isOversubscribed(now time.Time, w cleat.WorkspaceID) bool {
 	r := u.row(now, w)
-	return u.capacity > 0 && float64(u.demand(now, r)+r.peers.requested) > oversubscribedShares*u.share(now)
+	return u.capacity > 0 && u.totalDemand(now, r) > oversubscribedShares*u.share(now)
 }
 
 // maxMinShare returns the share of a workspace in a window, in cost units: what
@@ -123,8 +132,8 @@
 	requested := make([]float64, 0, len(u.rows))
 	for w := range u.rows {
 		r := u.row(now, w)
-		if n := u.demand(now, r) + r.peers.requested; n > 0 {
-			requested = append(requested, float64(n))
+		if n := u.totalDemand(now, r); n > 0 {
+			requested = append(requested, n)
 		}
 	}
 	slices.Sort(requested)
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -141,6 +141,18 @@
 	return int(float64(sum(r.requested)) * float64(u.window) / float64(counted))
 }
 
+// totalDemand returns the cost units requested for a workspace at all entries in a
+// window. Until the others have reported for the first time, a third of them are
+// assumed to have as much as this one: too little for a crowd at all entries, too much
+// for one at this entry.
+func (u *usageTable) totalDemand(now time.Time, r *workspaceUsage) float64 {
+	own := float64(u.demand(now, r))
+	if now.Sub(u.epoch) < u.reportDelay {
+		return own * (1 + float64(u.peers)/3)
+	}
+	return own + float64(r.peers.requested)
+}
+
 // report returns the usage at this entry, without that at other entries.
 func (u *usageTable) report(now time.Time) []cleat.WorkspaceUsage {
 	var list []cleat.WorkspaceUsage
--- a/role/proxy/shed.go
+++ b/role/proxy/shed.go
@@ -67,7 +67,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.planner.HasCredit(now, x.job) {
+	if !r.planner.IsWithinShare(now, x.job) {
 		return r.randomDuration(minBusyRetryAfter, maxBusyRetryAfter), true
 	}
 	return r.randomDuration(minFullRetryAfter, maxFullRetryAfter), r.rnd.Float64() < shedFraction(lag, x.route.Target)
