Count on the engines in proportion to what an entry sends

Cause: the time until a waiting request could be sent was taken from an equal part of the engines' prefill rate, one 27th, whatever this entry had of the requests. It is the entry's part of what all entries recently admitted now, and an equal part at least.

policy/place: behind 28 entries with hardly a request, 1 request could wait before, 10 and more now.

--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -245,7 +245,9 @@
 }
 
 func (p *Planner) serviceLoadOf(now time.Time, s cleat.ServiceName) serviceLoad {
-	l := serviceLoad{share: 1 / float64(1+p.livePeers(now)), fallbackDelay: p.cfg.MaxRetryAfter, plain: p.engines[s] == nil}
+	// Callers may be spread unevenly over the entries.
+	share := max(1/float64(1+p.livePeers(now)), p.usage.admittedPart(now))
+	l := serviceLoad{share: share, fallbackDelay: p.cfg.MaxRetryAfter, plain: p.engines[s] == nil}
 	for _, u := range p.services[s] {
 		if u.record.Phase == cleat.UpstreamReady && !now.Before(u.avoidUntil) {
 			l.prefillRate += u.prefillRate
--- a/policy/place/share_test.go
+++ b/policy/place/share_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -98,4 +99,20 @@
 		}
 		Expect(placed).To(Equal(60))
 	})
+
+	// FAIR on pastor-andino-grown: an entry with most of the requests refused them as
+	// overload by an equal part of the engines.
+	It("count on the engines in proportion to what the entry sends", func() {
+		r := newRig(4, 0, 0)
+		for i := range 28 {
+			r.ApplyReport(r.now, cleat.InstanceID(fmt.Sprint(i)), &cleat.PlacementReport{Seq: 1, Usage: []cleat.WorkspaceUsage{{Workspace: "b", AdmittedTokens: 100}}})
+		}
+		refused := false
+		for i := 0; i < 100 && !refused; i++ {
+			v, decided := r.Submit(r.now, r.prompt("a", 1, 0, 2000, 10))
+			refused = decided && !v.Placed()
+		}
+		Expect(refused).To(BeTrue())
+		Expect(r.Waiting()).To(BeNumerically(">=", 10)) // A fifth of a second's work of the engines.
+	})
 })
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -133,6 +133,17 @@
 	return sum(r.admitted) + r.peers.admitted
 }
 
+// admittedPart returns this entry's part of what all entries recently admitted.
+func (u *usageTable) admittedPart(now time.Time) float64 {
+	own, all := 0, 0
+	for w := range u.rows {
+		r := u.row(now, w)
+		n := sum(r.admitted)
+		own, all = own+n, all+n+r.peers.admitted
+	}
+	return float64(own) / float64(max(all, 1))
+}
+
 // demand returns the cost units requested for a workspace at this entry in a window.
 // Until the first window has passed, it is extrapolated: otherwise the capacity would
 // seem to cover what is requested when all callers come at once after a start.
