Agent: end an abandoned run without a panic

An agent would end, with all requests that it runs, when the entry of a run that may not be repeated gave up on its answer while bytes of it were unsent, and the upstream then finished ('slice bounds out of range').

Cause: abandon empties the buffer and moves its base to the end of the answer, but not the offset up to which it was sent; the end of the answer is sent from that offset, which then lies before the buffer. It moves along now.

run_test.go: panicked before with that message, now sends one empty last part.

--- a/role/agent/export_test.go
+++ b/role/agent/export_test.go
@@ -30,6 +30,11 @@
 	return Run{newRun(m, "u1", l, maxBytes, now)}
 }
 
+// NewUnrepeatableRun returns the run of an empty dispatch that may not be repeated.
+func NewUnrepeatableRun(l cleat.Link, maxBytes int, now time.Time) Run {
+	return Run{newRun(&cleat.Dispatch{Attempt: cleat.Attempt{Request: "r1", Number: 1}}, "u1", l, maxBytes, now)}
+}
+
 // FreeBytes returns how many bytes can be written without blocking.
 func (r Run) FreeBytes() int { return r.maxBufferBytes - r.bufferedBytes() }
 
@@ -39,6 +44,12 @@
 // SetStatus sets the answer's status.
 func (r Run) SetStatus(status int) { r.setHead(status, nil) }
 
+// WriteLast buffers the last bytes of an answer of known length.
+func (r Run) WriteLast(b []byte) error { return r.write(b, true) }
+
+// Abandon ends a run whose answer is no longer wanted.
+func (r Run) Abandon(cause error) { r.abandon(cause) }
+
 // Finish ends the answer.
 func (r Run) Finish() { r.finish(cleat.Outcome{Kind: cleat.OutcomeDone}) }
 
--- a/role/agent/run.go
+++ b/role/agent/run.go
@@ -268,6 +268,7 @@
 	} else {
 		r.discardAnswer = true
 		r.base, r.buf = r.endOffset(), nil
+		r.sent = r.base
 	}
 	r.bufferCond.Broadcast()
 }
--- a/role/agent/run_test.go
+++ b/role/agent/run_test.go
@@ -153,3 +153,17 @@
 		})
 	})
 })
+
+// An agent panicked when such a run ended: the offset of what was sent lay before the buffer.
+var _ = Describe("A run that may not be repeated", func() {
+	It("ends after its answer is abandoned with unsent bytes", func() {
+		l := &recordingLink{}
+		r := agent.NewUnrepeatableRun(l, maxBufferBytes, time.Unix(1e9, 0))
+		Expect(r.WriteLast([]byte("abc"))).To(Succeed())
+		r.Abandon(errors.New("the caller left"))
+		r.Finish()
+		Expect(l.parts).To(HaveLen(1))
+		Expect(l.parts[0].End).To(BeTrue())
+		Expect(l.parts[0].Data).To(BeEmpty())
+	})
+})
