Queue: list a requeued request once

A request behind the first of its stream that was granted for its cached prefix, and requeued because its dispatch could not be sent, was refused twice when its deadline became unattainable, and counted twice in the waits of the requests behind it.

Cause: starting a request out of order leaves it in the stream's list, where it is skipped because it doesn't wait; when it waits again it was inserted once more. A request that is still listed keeps its place.

table_test.go: refused more than once before, once now.

--- a/policy/queue/stream.go
+++ b/policy/queue/stream.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -141,10 +142,14 @@
 	}
 }
 
-// insert adds a request in order of receipt.
+// insert adds a request in order of receipt. One that was granted from behind the first
+// is still listed, at the same place.
 func (s *stream) insert(r *request) {
 	s.waiting++
 	s.compact()
+	if r.attempt > 0 && slices.Contains(s.requests, r) {
+		return
+	}
 	at := sort.Search(len(s.requests), func(i int) bool {
 		return s.requests[i].work.Received.After(r.work.Received)
 	})
--- a/policy/queue/table_test.go
+++ b/policy/queue/table_test.go
@@ -1,7 +1,9 @@
 package queue_test
 
 import (
+	"fmt"
 	"maps"
+	"math/rand"
 	"slices"
 	"time"
 
@@ -9,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/queue"
 )
 
 func sortedKeys[V any](m map[cleat.InstanceID]V) []cleat.InstanceID {
@@ -48,4 +51,42 @@
 		f.advance(25 * time.Second)
 		Expect(f.served["a/x"] / f.served["b/y"]).To(BeNumerically("~", 2, 0.15))
 	})
+
+	// A request that was requeued behind the first of its stream was listed twice.
+	It("refuses a request once that was granted out of order and not sent", func() {
+		var cfg queue.Config
+		cfg.Defaults()
+		now := time.Unix(1e9, 0)
+		t := queue.New(cfg, cleat.Peer{Instance: "entry"}, rand.New(rand.NewSource(1)))
+		peer := cleat.Peer{Instance: "agent", Incarnation: 1, Role: cleat.RoleAgent}
+		t.AgentUp(now, peer)
+		t.AgentState(now, "agent", &cleat.AgentState{Incarnation: 1, Seq: 1, Upstreams: []cleat.UpstreamState{
+			{Upstream: "u", Kind: cleat.KindModel, Models: []cleat.ModelID{"m"}, Limit: 1, Prefixes: []uint32{7}},
+		}})
+		for i, prefix := range []uint64{1, 7} {
+			t.Submit(now, cleat.Work{
+				ID: cleat.RequestID(fmt.Sprint(i)), Workspace: "a/x", Class: "c", Kind: cleat.KindModel, Model: "m", Prefix: []uint64{prefix},
+				Received: now.Add(time.Duration(i)), Deadline: now.Add(cfg.RateWindow + time.Second), Repeatable: true,
+			})
+		}
+		stream := cleat.Stream{Workspace: "a/x", Class: "c", Kind: cleat.KindModel, Model: "m"}
+		starts := make(map[cleat.RequestID]int)
+		for id := range uint64(20) { // Enough dispatches to estimate waits.
+			now = now.Add(10 * time.Millisecond)
+			e := t.Grants(now, "agent", &cleat.Grants{Incarnation: 1, Grants: []cleat.Grant{{ID: id + 1, Stream: stream, Upstream: "u", Lifetime: time.Second}}})
+			for _, s := range e.Starts {
+				starts[s.Work.ID]++
+				t.DispatchNotSent(now, cleat.Attempt{Request: s.Work.ID, Number: s.Attempt.Number})
+			}
+		}
+		Expect(starts["1"]).To(BeNumerically(">", 0))
+		refusals := make(map[cleat.RequestID]int)
+		for range 120 {
+			now = now.Add(100 * time.Millisecond)
+			for _, r := range t.Tick(now).Refusals {
+				refusals[r.Request]++
+			}
+		}
+		Expect(refusals).To(Equal(map[cleat.RequestID]int{"0": 1, "1": 1}))
+	})
 })
