Read upstreams' software versions and log them with each placement

Announcements carry their version to the entries now, and the lines 'upstream known', 'placed' and 'repeat' state it; 'placed' also names the request that a request resumes. No decision uses either yet.

--- a/dialect.go
+++ b/dialect.go
@@ -27,6 +27,7 @@
 	WorkspaceKey string        // Empty when the request has none.
 	Prompt       *Prompt       // Nil when the request describes no prompt.
 	LastEvent    string        // Event after which to resume a stream; empty for a new stream.
+	Resumes      RequestID     // Request that received the first event of the resumed stream; empty for a new stream.
 }
 
 // AnswerInfo holds what an upstream states about its answer in header fields.
--- a/role/ctrl/upstreams.go
+++ b/role/ctrl/upstreams.go
@@ -30,7 +30,7 @@
 	}
 	if r.roster.Add(r.clock.Now(), rec) {
 		r.log.Info("upstream announced", "upstream", rec.Upstream, "service", rec.Service, "address", rec.Address,
-			"phase", rec.Phase, "born", rec.StartedAtMillis, "sequence", rec.Sequence)
+			"phase", rec.Phase, "version", rec.Version, "born", rec.StartedAtMillis, "sequence", rec.Sequence)
 		r.broadcastUpstream(rec)
 	}
 	return nil
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -80,7 +80,7 @@
 		}
 		changed = true
 		r.log.Info("upstream known", "upstream", rec.Upstream, "service", rec.Service, "address", rec.Address,
-			"phase", rec.Phase, "born", rec.StartedAtMillis, "sequence", rec.Sequence)
+			"phase", rec.Phase, "version", rec.Version, "born", rec.StartedAtMillis, "sequence", rec.Sequence)
 	}
 	if changed {
 		r.applyRoster()
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -47,7 +47,7 @@
 			x.endCanceled()
 			return
 		}
-		x.logDecision("placed", "upstream", v.Upstream.Upstream, "phase", v.Upstream.Phase, "sequence", v.Upstream.Sequence,
+		x.logDecision("placed", "upstream", v.Upstream.Upstream, "version", v.Upstream.Version, "phase", v.Upstream.Phase, "sequence", v.Upstream.Sequence, "resumes", x.info.Resumes,
 			"prompt", x.job.PromptTokens, "unread", v.PrefillTokens, "output", x.job.OutputTokens, "backlog", v.BacklogTokens)
 		res, answer := x.tryUpstream(v.Upstream)
 		if res == resultDone {
@@ -100,7 +100,7 @@
 	x.role.mu.Lock()
 	allowed := x.role.budget.AllowRetry(x.role.clock.Now(), x.service)
 	x.role.mu.Unlock()
-	x.logDecision("repeat", "upstream", tried.Upstream, "attempts", x.attempts, "allowed", allowed, "after_event", x.events.lastID)
+	x.logDecision("repeat", "upstream", tried.Upstream, "version", tried.Version, "attempts", x.attempts, "allowed", allowed, "after_event", x.events.lastID)
 	return allowed
 }
 
--- a/upstream.go
+++ b/upstream.go
@@ -23,6 +23,7 @@
 	StartedAtMillis int64         `msgpack:"b"`           // Start of this incarnation, since 1970 by the upstream's clock.
 	Sequence        uint64        `msgpack:"q"`           // Increases with each announcement of this incarnation.
 	WarmUp          time.Duration `msgpack:"c,omitempty"` // Remaining time in which the upstream is slower than normal.
+	Version         string        `msgpack:"v"`           // Of its software; empty when an instance that doesn't know versions forwarded the record.
 }
 
 // Upstreams registers upstreams with the fleet.
