Continue a stream only at the software version that began it

Cause: entries knew no versions. Announcements were read without them, so another upstream for the rest of a broken stream, or for a caller's resumption, was chosen by load and cache alone. The class of fault: an attempt after the first one was placed by what the request needs, without what earlier attempts have already fixed.

The entry records the service and version of a stream with its first event (policy/resume), tells all entries with the next report, and asks them about a stream that it doesn't know. The planner sends a job with a version only to upstreams that announce it. What nobody knows is refused as not run. A restart under the same id with other software makes the streams sent meanwhile unknown, and without contact to control only connections from before are used.

--- a/kind.go
+++ b/kind.go
@@ -104,6 +104,12 @@
 // Kind returns KindPlacementReport.
 func (*PlacementReport) Kind() MessageKind { return KindPlacementReport }
 
+// Kind returns KindStreamReport.
+func (*StreamReport) Kind() MessageKind { return KindStreamReport }
+
+// Kind returns KindStreamQuery.
+func (*StreamQuery) Kind() MessageKind { return KindStreamQuery }
+
 // NewMessage returns an empty message of kind k for a codec to decode into, or a
 // trace.BadParameter error for an unknown kind.
 func NewMessage(k MessageKind) (Message, error) {
@@ -149,4 +155,6 @@
 	KindManifestUpdate:  func() Message { return new(ManifestUpdate) },
 	KindUpstreamUpdate:  func() Message { return new(UpstreamUpdate) },
 	KindPlacementReport: func() Message { return new(PlacementReport) },
+	KindStreamReport:    func() Message { return new(StreamReport) },
+	KindStreamQuery:     func() Message { return new(StreamQuery) },
 }
--- a/message.go
+++ b/message.go
@@ -47,6 +47,8 @@
 	KindManifestUpdate
 	KindUpstreamUpdate
 	KindPlacementReport
+	KindStreamReport
+	KindStreamQuery
 	KindLimit // Greater than every kind.
 )
 
--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -19,6 +19,7 @@
 	Target       time.Time // When the answer or its first event is due by the latency objective.
 	Deadline     time.Time
 	Tried        []cleat.UpstreamID // Upstreams of earlier attempts that failed.
+	Version      string             // Software version that began the job's stream; the only one that can continue it. Empty for a new job.
 
 	counted       bool    // In the workspace's demand.
 	charged       *credit // Credit that the job was charged to; nil if none.
@@ -55,6 +56,7 @@
 // The reasons to refuse a job.
 const (
 	ReasonNoUpstream Reason = "no_upstream" // The service has no usable upstream that was not tried.
+	ReasonNoVersion  Reason = "no_version"  // No usable upstream has the software version that began the stream.
 	ReasonOverload   Reason = "overload"    // The job can't be served in time.
 	ReasonOverShare  Reason = "over_share"  // The workspace has recently used its share of the capacity.
 	ReasonLateRetry  Reason = "late_return" // A retry that would be late, while other requests of its workspace need the share.
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -154,7 +154,7 @@
 
 func (p *Planner) decide(now time.Time, j *Job) (Verdict, bool) {
 	if !p.hasUsableUpstream(j) {
-		return Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetryAfter / 4}, true
+		return p.refuseUnplaceable(j), true
 	}
 	p.extendLongTarget(now, j)
 	if v, refused := p.enforceShare(now, j); refused {
@@ -195,7 +195,7 @@
 	if p.engines[j.Service] == nil {
 		return Verdict{}, false
 	}
-	if len(j.Tried) > 0 { // A job that was admitted keeps its admission when it is retried.
+	if len(j.Tried) > 0 || j.Version != "" { // A job that was admitted keeps its admission when it is retried or its stream is resumed.
 		c, _ := p.usage.withinShare(now, j.Workspace)
 		j.charge(c)
 		return Verdict{}, false
@@ -236,14 +236,24 @@
 	return slices.ContainsFunc(p.waiting, func(w *Job) bool { return w.Service == j.Service })
 }
 
+// refuseUnplaceable refuses a job that no upstream of its service can run now.
+func (p *Planner) refuseUnplaceable(j *Job) Verdict {
+	v := Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetryAfter / 4}
+	if j.Version != "" {
+		v.Reason = ReasonNoVersion
+	}
+	return v
+}
+
 // hasUsableUpstream reports whether the service has a ready upstream that the job
-// has not tried.
+// has not tried, of the version that it needs.
 func (p *Planner) hasUsableUpstream(j *Job) bool {
 	return slices.ContainsFunc(p.services[j.Service], func(u *upstream) bool { return isUsable(u, j) })
 }
 
 func isUsable(u *upstream, j *Job) bool {
-	return u.record.Phase == cleat.UpstreamReady && !slices.Contains(j.Tried, u.record.Upstream)
+	return u.record.Phase == cleat.UpstreamReady && (j.Version == "" || j.Version == u.record.Version) &&
+		!slices.Contains(j.Tried, u.record.Upstream)
 }
 
 // maxFailedTries bounds for how many jobs of a service one dispatch round looks for an
@@ -264,7 +274,7 @@
 	for _, j := range p.dispatchOrder(now) {
 		if !p.hasUsableUpstream(j) {
 			j.refund()
-			verdicts = append(verdicts, Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetryAfter / 4})
+			verdicts = append(verdicts, p.refuseUnplaceable(j))
 			continue
 		}
 		if failedTries[j.Service] < maxFailedTries {
--- a/policy/roster/table.go
+++ b/policy/roster/table.go
@@ -61,6 +61,9 @@
 	if known && !supersedes(&r, &old.record) {
 		return false
 	}
+	if known && r.Version == "" && r.StartedAtMillis == old.record.StartedAtMillis {
+		r.Version = old.record.Version // Forwarded by an instance that doesn't know versions.
+	}
 	if known && old.record.Phase == cleat.UpstreamGone && old.record.StartedAtMillis == 0 && r.Phase != cleat.UpstreamGone {
 		return t.adoptIncarnation(now, old, r)
 	}
@@ -111,7 +114,7 @@
 // differs reports whether the records differ in a field that must be forwarded.
 func differs(a, b *cleat.UpstreamRecord) bool {
 	return a.Service != b.Service || a.Address != b.Address || a.Domain != b.Domain || a.Slots != b.Slots ||
-		a.Phase != b.Phase || a.StartedAtMillis != b.StartedAtMillis
+		a.Phase != b.Phase || a.StartedAtMillis != b.StartedAtMillis || a.Version != b.Version
 }
 
 // Withdraw marks an upstream as gone and returns the record to forward. It returns
@@ -156,6 +159,15 @@
 	return list
 }
 
+// ByID returns the record of an upstream, or false when it is not known.
+func (t *Table) ByID(id cleat.UpstreamID) (cleat.UpstreamRecord, bool) {
+	r, ok := t.rows[id]
+	if !ok {
+		return cleat.UpstreamRecord{}, false
+	}
+	return r.record, true
+}
+
 // Usable returns the upstreams that own their addresses and are not gone, sorted by ID.
 func (t *Table) Usable() []cleat.UpstreamRecord {
 	return slices.DeleteFunc(t.List(), func(r cleat.UpstreamRecord) bool {
--- a/policy/roster/table_test.go
+++ b/policy/roster/table_test.go
@@ -129,6 +129,22 @@
 		Expect(changed).To(BeFalse())
 	})
 
+	It("forwards the version of an upstream, and keeps it when a record without one follows", func() {
+		t := roster.New()
+		first := announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record()
+		Expect(t.Add(now, first)).To(BeTrue())
+		second := announcement{"a", "s", "10.0.0.1:1", ready, 5, 2}.record()
+		second.Version = "v1"
+		Expect(t.Add(now, second)).To(BeTrue())
+		Expect(t.Add(now, announcement{"a", "s", "10.0.0.1:1", leaving, 5, 3}.record())).To(BeTrue())
+		r, ok := t.ByID("a")
+		Expect(ok).To(BeTrue())
+		Expect(r.Version).To(Equal("v1"))
+		Expect(t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 9, 1}.record())).To(BeTrue())
+		r, _ = t.ByID("a")
+		Expect(r.Version).To(BeEmpty())
+	})
+
 	It("keeps an upstream without announcements until AnnouncementTimeout", func() {
 		t := roster.New()
 		t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
--- a/role/node/client.go
+++ b/role/node/client.go
@@ -36,6 +36,7 @@
 	links          map[cleat.InstanceID]*controlLink
 	primary        cleat.InstanceID
 	lastConfirmed  time.Time // When the primary last sent a quorum-confirmed message, or was chosen.
+	lastContact    time.Time // When the primary last sent a quorum-confirmed message.
 	reportedStatus map[cleat.WorkspaceID]cleat.WorkspaceStatus
 	statusDue      time.Time
 	calls          pendingCalls
@@ -106,6 +107,14 @@
 // OnUpstreams sets the callback for announcements of upstreams.
 func (c *Client) OnUpstreams(f func([]cleat.UpstreamRecord)) { c.callbacks.upstreams = f }
 
+// LastContact returns when a control instance that reaches a quorum was last heard;
+// announcements of upstreams from before that have arrived.
+func (c *Client) LastContact() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastContact
+}
+
 // SetControls replaces the link addresses of the control instances, as host:port.
 func (c *Client) SetControls(addrs []string) {
 	c.mu.Lock()
--- a/role/node/links.go
+++ b/role/node/links.go
@@ -133,6 +133,7 @@
 	defer c.mu.Unlock()
 	if c.primary == l.Peer().Instance {
 		c.lastConfirmed = c.clock.Now()
+		c.lastContact = c.lastConfirmed
 	}
 }
 
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -27,7 +27,8 @@
 // failed with an answer that may still be relayed, it returns that answer.
 func (x *exchange) tryUpstream(u cleat.UpstreamRecord) (result, *bufferedAnswer) {
 	p := x.role.pool(u)
-	conn, err := p.get(x.ctx, x.role.clock.Now())
+	now := x.role.clock.Now()
+	conn, err := p.get(x.ctx, now, x.dialedBefore(now))
 	if err != nil {
 		outcome := place.OutcomeUnreachable
 		if x.ctx.Err() != nil {
@@ -43,6 +44,7 @@
 	}
 	x.attempts++
 	x.answerStarted = false
+	x.sentAt = x.role.clock.Now()
 	stop := context.AfterFunc(x.ctx, conn.close)
 	defer stop()
 	head := x.encodeHead(u)
--- a/role/proxy/config.go
+++ b/role/proxy/config.go
@@ -10,6 +10,7 @@
 	"marigoldcleat.example/cleat/link/wire"
 	"marigoldcleat.example/cleat/policy/budget"
 	"marigoldcleat.example/cleat/policy/place"
+	"marigoldcleat.example/cleat/policy/resume"
 )
 
 // Defaults of Config.
@@ -37,6 +38,7 @@
 	Wire     wire.Config
 	Place    place.Config
 	Retries  budget.Config
+	Resume   resume.Config
 	Dialect  cleat.Dialect
 	Decoder  cleat.RouteTableDecoder
 
--- a/role/proxy/conn.go
+++ b/role/proxy/conn.go
@@ -29,10 +29,11 @@
 
 // upstreamConn is one connection to an upstream.
 type upstreamConn struct {
-	net    net.Conn
-	br     *bufio.Reader
-	reused bool
-	expiry time.Time // From then on it must not be reused.
+	net      net.Conn
+	br       *bufio.Reader
+	reused   bool
+	dialedAt time.Time
+	expiry   time.Time // From then on it must not be reused.
 }
 
 // errNotSent marks a failure to connect, before any byte was sent.
@@ -60,14 +61,18 @@
 	p.maxIdle = n
 }
 
-// get returns an idle connection that is still usable, or a new one.
-func (p *pool) get(ctx context.Context, now time.Time) (*upstreamConn, error) {
+// get returns an idle connection that is still usable, or a new one. If before is set,
+// it returns only a connection that was dialed before then.
+func (p *pool) get(ctx context.Context, now, before time.Time) (*upstreamConn, error) {
 	for {
 		c := p.popIdle()
-		if c == nil {
-			return p.dial(ctx)
+		switch {
+		case c == nil && !before.IsZero():
+			return nil, trace.Wrap(errNotSent, "pool.get: no connection from before %v ago", now.Sub(before))
+		case c == nil:
+			return p.dial(ctx, now)
 		}
-		if now.Before(c.expiry) && c.isReusable() {
+		if now.Before(c.expiry) && c.isReusable() && (before.IsZero() || c.dialedAt.Before(before)) {
 			c.reused = true
 			return c, nil
 		}
@@ -86,7 +91,7 @@
 	return c
 }
 
-func (p *pool) dial(ctx context.Context) (*upstreamConn, error) {
+func (p *pool) dial(ctx context.Context, now time.Time) (*upstreamConn, error) {
 	d := net.Dialer{Timeout: p.cfg.DialTimeout, Control: p.setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: p.cfg.TCPUserTimeout, Interval: p.cfg.TCPUserTimeout / 2, Count: 2,
 	}}
@@ -94,7 +99,7 @@
 	if err != nil {
 		return nil, trace.Wrap(errNotSent, "pool.dial: %v", err)
 	}
-	return &upstreamConn{net: c, br: bufio.NewReaderSize(c, 4<<10)}, nil
+	return &upstreamConn{net: c, br: bufio.NewReaderSize(c, 4<<10), dialedAt: now}, nil
 }
 
 // setUserTimeout sets how long sent bytes may stay unacknowledged before the kernel
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -75,6 +75,7 @@
 	now := r.clock.Now()
 	changed := false
 	for _, rec := range list {
+		r.recordRestart(now, rec)
 		if !r.roster.Add(now, rec) {
 			continue
 		}
@@ -142,6 +143,7 @@
 		now := r.clock.Now()
 		r.mu.Lock()
 		r.planner.ExpirePeers(now)
+		r.streams.Tick(now)
 		r.requestMetrics.updateGauges(r)
 		pools := make([]*pool, 0, len(r.pools))
 		for _, p := range r.pools {
--- a/role/proxy/mesh.go
+++ b/role/proxy/mesh.go
@@ -43,17 +43,43 @@
 	r.log.Info("link to an entry lost", "entry", l.Peer().Instance, "err", err)
 }
 
-// LinkMessage applies another entry's report.
+// LinkMessage applies another entry's report or answers its question.
 func (h *meshHandler) LinkMessage(l cleat.Link, m cleat.Message) {
 	r := (*Role)(h)
-	report, ok := m.(*cleat.PlacementReport)
-	if !ok {
+	switch m := m.(type) {
+	case *cleat.PlacementReport:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.planner.ApplyReport(r.clock.Now(), l.Peer().Instance, m)
+	case *cleat.StreamReport:
+		r.applyStreams(m)
+	case *cleat.StreamQuery:
+		r.answerStreams(l, m)
+	default:
 		r.log.Debug("unexpected message", "kind", m.Kind(), "from", l.Peer().Instance)
-		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.planner.ApplyReport(r.clock.Now(), l.Peer().Instance, report)
+}
+
+// linkedEntries returns the links to other entries, sorted by instance. The caller
+// holds r.mu.
+func (r *Role) linkedEntries() []cleat.Link {
+	links := make([]cleat.Link, 0, len(r.entries))
+	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
+		if l := r.entries[id].link; l != nil {
+			links = append(links, l)
+		}
+	}
+	return links
+}
+
+// broadcast sends a message over links. One that can't be sent is lost: its link is
+// about to go down.
+func (r *Role) broadcast(links []cleat.Link, m cleat.Message) {
+	for _, l := range links {
+		if err := l.Send(m); err != nil {
+			r.log.Debug("message not sent", "kind", m.Kind(), "entry", l.Peer().Instance, "err", err)
+		}
+	}
 }
 
 // applyMembers keeps links to the other entries. Of each pair of entries, the one whose
@@ -107,20 +133,14 @@
 func (r *Role) reportLoop(ctx context.Context) error {
 	for {
 		r.mu.Lock()
-		m := r.planner.Report(r.clock.Now())
-		links := make([]cleat.Link, 0, len(r.entries))
-		for _, id := range slices.Sorted(maps.Keys(r.entries)) {
-			if l := r.entries[id].link; l != nil {
-				links = append(links, l)
-			}
-		}
+		m, streams := r.planner.Report(r.clock.Now()), r.streams.Report(r.clock.Now())
+		links := r.linkedEntries()
 		interval := r.cfg.ReportInterval * time.Duration(max(1, len(links)/peersPerReportInterval))
 		r.planner.SetPeers(len(links), interval)
 		r.mu.Unlock()
-		for _, l := range links {
-			if err := l.Send(m); err != nil {
-				r.log.Debug("report not sent", "entry", l.Peer().Instance, "err", err)
-			}
+		r.broadcast(links, m)
+		if streams != nil {
+			r.broadcast(links, streams)
 		}
 		if !sleep(ctx, interval) {
 			return nil
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -26,6 +26,9 @@
 // run submits the request and sends it to upstreams until the caller has a final answer.
 func (x *exchange) run() {
 	x.role.recordRequest(x.service)
+	if x.isResumption() && !x.prepareResumption() {
+		return
+	}
 	for {
 		v, pending := x.role.submit(x.job)
 		if pending != nil || v.Placed() {
@@ -93,6 +96,9 @@
 	if res != resultNotRun && !x.route.Idempotent() {
 		return false
 	}
+	if x.events.started && !x.pinVersion() {
+		return false
+	}
 	x.job.Tried = append(x.job.Tried, tried.Upstream)
 	if x.attempts == 0 {
 		return true
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -40,9 +40,10 @@
 	body      []byte
 	job       *place.Job
 
-	attempts      int  // Upstreams that the request was sent to.
-	mayHaveRun    bool // An upstream may have run the request.
-	answerStarted bool // The current attempt's answer has started.
+	sentAt        time.Time // Of the current attempt.
+	attempts      int       // Upstreams that the request was sent to.
+	mayHaveRun    bool      // An upstream may have run the request.
+	answerStarted bool      // The current attempt's answer has started.
 	events        eventState
 }
 
--- a/role/proxy/stream.go
+++ b/role/proxy/stream.go
@@ -42,6 +42,10 @@
 		buf = buf[:len(buf)+n]
 		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
 			end += len(eventEnd)
+			if !x.answerStarted && !x.recordStart(u) {
+				conn.close()
+				return x.handleStreamBroken(u, errors.New("the upstream has restarted with another version"))
+			}
 			if writeErr := x.relayEvents(resp, buf[:end]); writeErr != nil {
 				conn.close()
 				x.role.recordEnd(x.job, place.OutcomeCanceled)
