Resume streams whose callers don't name them while the service has one version

Callers of an earlier interface send the last event's id without the request whose stream it is.

The line 'refused' states what a resumption named.

--- a/policy/roster/table.go
+++ b/policy/roster/table.go
@@ -168,6 +168,32 @@
 	return r.record, true
 }
 
+// SoleVersion returns the software version of a service's upstreams, or false unless
+// all have the same. Upstreams that have left, or whose address another one has taken,
+// count for WithdrawnRetention longer.
+func (t *Table) SoleVersion(now time.Time, s cleat.ServiceName) (string, bool) {
+	version := ""
+	for id, r := range t.rows {
+		if r.record.Service != s || t.endedBefore(id, r, now.Add(-WithdrawnRetention)) {
+			continue
+		}
+		if r.record.Version == "" || (version != "" && version != r.record.Version) {
+			return "", false
+		}
+		version = r.record.Version
+	}
+	return version, version != ""
+}
+
+// endedBefore reports whether an upstream is known to have ended before a time.
+func (t *Table) endedBefore(id cleat.UpstreamID, r *row, at time.Time) bool {
+	if r.record.Phase == cleat.UpstreamGone {
+		return r.updatedAt.Before(at)
+	}
+	owner, ok := t.rows[t.addressOwner[r.record.Address]]
+	return ok && owner.record.Upstream != id && owner.updatedAt.Before(at)
+}
+
 // Usable returns the upstreams that own their addresses and are not gone, sorted by ID.
 func (t *Table) Usable() []cleat.UpstreamRecord {
 	return slices.DeleteFunc(t.List(), func(r cleat.UpstreamRecord) bool {
--- a/policy/roster/table_test.go
+++ b/policy/roster/table_test.go
@@ -145,6 +145,30 @@
 		Expect(r.Version).To(BeEmpty())
 	})
 
+	It("states the version of a service only while all its upstreams have had the same", func() {
+		t := roster.New()
+		add := func(at time.Time, id cleat.UpstreamID, address, version string, born int64) {
+			r := announcement{id, "s", address, ready, born, 5}.record()
+			r.Version = version
+			t.Add(at, r)
+		}
+		versionAt := func(at time.Time) string {
+			version, ok := t.SoleVersion(at, "s")
+			Expect(ok).To(Equal(version != ""))
+			return version
+		}
+		Expect(versionAt(now)).To(BeEmpty())
+		add(now, "a", "10.0.0.1:1", "v1", 5)
+		add(now, "b", "10.0.0.1:2", "v1", 5)
+		Expect(versionAt(now)).To(Equal("v1"))
+		add(now, "c", "10.0.0.1:3", "v2", 5)
+		Expect(versionAt(now)).To(BeEmpty())
+		t.Withdraw(now, "a")
+		add(now, "d", "10.0.0.1:2", "v2", 9)
+		Expect(versionAt(now.Add(roster.WithdrawnRetention))).To(BeEmpty())
+		Expect(versionAt(now.Add(roster.WithdrawnRetention + 1))).To(Equal("v2"))
+	})
+
 	It("keeps an upstream without announcements until AnnouncementTimeout", func() {
 		t := roster.New()
 		t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
--- a/role/proxy/resume.go
+++ b/role/proxy/resume.go
@@ -60,9 +60,12 @@
 // doesn't know; false means that no entry in reach does.
 func (r *Role) findOrigin(x *exchange) (resume.Origin, bool) {
 	id := x.info.Resumes
+	if id == "" {
+		return r.soleOrigin(x)
+	}
 	r.mu.Lock()
 	o, ok := r.streams.Find(r.clock.Now(), id)
-	if ok || id == "" || len(r.linkedEntries()) == 0 {
+	if ok || len(r.linkedEntries()) == 0 {
 		r.mu.Unlock()
 		return o, ok
 	}
@@ -91,6 +94,25 @@
 	return r.streams.Find(r.clock.Now(), id)
 }
 
+// soleOrigin returns where a stream began whose caller doesn't name it, as callers of
+// an earlier interface do: the only service of its route, while all upstreams that
+// control has known there recently have one version.
+func (r *Role) soleOrigin(x *exchange) (resume.Origin, bool) {
+	if len(x.route.Split) != 1 || !r.isInContact(r.clock.Now()) {
+		return resume.Origin{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v, ok := r.roster.SoleVersion(r.clock.Now(), x.service)
+	return resume.Origin{Service: x.service, Version: v}, ok
+}
+
+// isInContact reports whether announcements reach this entry: a control instance with
+// a quorum was heard within ConfirmTimeout.
+func (r *Role) isInContact(now time.Time) bool {
+	return now.Sub(r.control.LastContact()) <= r.cfg.ConfirmTimeout
+}
+
 // sendQueries sends the collected questions to all linked entries.
 func (r *Role) sendQueries() {
 	r.mu.Lock()
@@ -168,11 +190,10 @@
 // have restarted with another version unnoticed; a connection from before that proves
 // that it hasn't.
 func (x *exchange) dialedBefore(now time.Time) time.Time {
-	contact := x.role.control.LastContact()
-	if x.job.Version == "" || now.Sub(contact) <= x.role.cfg.ConfirmTimeout {
+	if x.job.Version == "" || x.role.isInContact(now) {
 		return time.Time{}
 	}
-	return contact
+	return x.role.control.LastContact()
 }
 
 // recordRestart handles the record of an upstream that restarted under its id with
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -244,6 +244,9 @@
 		x.role.mu.Unlock()
 		fields = append(fields, shareFields(&u)...)
 	}
+	if x.info.Resumes != "" || x.info.LastEvent != "" {
+		fields = append(fields, "resumes", x.info.Resumes, "after_event", x.info.LastEvent)
+	}
 	x.writeDecision(now, "refused", skipped, fields)
 }
 
