--- a/dialect.go
+++ b/dialect.go
@@ -8,6 +8,7 @@
 // PrefixBlock is a block of a prompt's prefix, which upstreams may have cached.
 type PrefixBlock struct {
 	Digest uint64 // Of this block and all blocks before it.
+	ID     uint64 // Of this block alone, whatever comes before it.
 	Tokens int
 }
 
@@ -20,6 +21,14 @@
 	ExpectedOutput int           // Tokens of the answer as estimated by the caller; zero when not stated.
 }
 
+// SharedBlocks returns the blocks that other requests may share: all but the last.
+func (p *Prompt) SharedBlocks() []PrefixBlock {
+	if p == nil || len(p.Blocks) == 0 {
+		return nil
+	}
+	return p.Blocks[:len(p.Blocks)-1]
+}
+
 // RequestInfo holds what a caller states about its request in header fields.
 type RequestInfo struct {
 	ID           RequestID
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -86,7 +86,7 @@
 		return resultDone
 	}
 	x.role.recordEnd(x.job, place.OutcomeUnreachable)
-	x.logDecision("connection_lost", "upstream", u.Upstream, "address", u.Address, "err", err)
+	x.logDecision("connection_lost", "upstream", u.Upstream, "address", u.Address, "err", err, "blocks", x.blockNames())
 	return resultFailed
 }
 
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -229,6 +229,17 @@
 	x.role.decisions.Write(kind, skipped, append(fields, keyvals...))
 }
 
+// blockNames returns the ids of the prompt's blocks that other requests may share, in
+// hexadecimal.
+func (x *exchange) blockNames() string {
+	blocks := x.info.Prompt.SharedBlocks()
+	names := make([]string, len(blocks))
+	for i, b := range blocks {
+		names[i] = strconv.FormatUint(b.ID, 16)
+	}
+	return strings.Join(names, ",")
+}
+
 // logRefusal logs a refusal. One for the workspace's share states the share and the
 // usage that it was compared with.
 func (x *exchange) logRefusal(status int, reason string, retryAfter time.Duration) {
