Quarantine prompt blocks that crash upstreams

Cause: a lost connection counted against the upstream alone. The request went on to the next upstream, up to max-attempts, and nothing connected the requests of different callers at different entries: a block was known only by a digest of the blocks before it as well. The class of fault: a failure is charged to whoever showed it, without looking at what was sent there.

policy/poison keeps, for each shared block, the requests that an ending upstream had not begun to answer; an answer that begins clears its blocks. A block is quarantined after at least 4 upstreams and as many more as chance would explain; entries exchange the evidence with their reports. A request is repeated only while none of its blocks is under suspicion twice.

--- a/kind.go
+++ b/kind.go
@@ -110,6 +110,9 @@
 // Kind returns KindStreamQuery.
 func (*StreamQuery) Kind() MessageKind { return KindStreamQuery }
 
+// Kind returns KindCrashReport.
+func (*CrashReport) Kind() MessageKind { return KindCrashReport }
+
 // NewMessage returns an empty message of kind k for a codec to decode into, or a
 // trace.BadParameter error for an unknown kind.
 func NewMessage(k MessageKind) (Message, error) {
@@ -157,4 +160,5 @@
 	KindPlacementReport: func() Message { return new(PlacementReport) },
 	KindStreamReport:    func() Message { return new(StreamReport) },
 	KindStreamQuery:     func() Message { return new(StreamQuery) },
+	KindCrashReport:     func() Message { return new(CrashReport) },
 }
--- a/message.go
+++ b/message.go
@@ -49,6 +49,7 @@
 	KindPlacementReport
 	KindStreamReport
 	KindStreamQuery
+	KindCrashReport
 	KindLimit // Greater than every kind.
 )
 
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -43,7 +43,7 @@
 		return resultNotRun, nil
 	}
 	x.attempts++
-	x.answerStarted = false
+	x.answerStarted, x.begun, x.attemptEvents = false, false, 0
 	x.sentAt = x.role.clock.Now()
 	stop := context.AfterFunc(x.ctx, conn.close)
 	defer stop()
@@ -87,6 +87,7 @@
 	}
 	x.role.recordEnd(x.job, place.OutcomeUnreachable)
 	x.logDecision("connection_lost", "upstream", u.Upstream, "address", u.Address, "err", err, "blocks", x.blockNames())
+	x.recordBroken(u)
 	return resultFailed
 }
 
@@ -150,7 +151,9 @@
 		if x.ctx.Err() != nil {
 			return x.handleConnLost(u, err), nil
 		}
-		return x.recordCorrupt(u, err.Error()), nil
+		res := x.recordCorrupt(u, err.Error())
+		x.recordBroken(u)
+		return res, nil
 	}
 	if len(body) == maxBufferedBytes {
 		return x.relayUnbuffered(u, p, conn, resp, body), nil
@@ -178,6 +181,7 @@
 		return false
 	}
 	x.recordFirstBytes()
+	x.recordBegun()
 	x.role.recordEnd(x.job, place.OutcomeServed)
 	return true
 }
--- a/role/proxy/config.go
+++ b/role/proxy/config.go
@@ -10,6 +10,7 @@
 	"marigoldcleat.example/cleat/link/wire"
 	"marigoldcleat.example/cleat/policy/budget"
 	"marigoldcleat.example/cleat/policy/place"
+	"marigoldcleat.example/cleat/policy/poison"
 	"marigoldcleat.example/cleat/policy/resume"
 )
 
@@ -39,6 +40,7 @@
 	Place    place.Config
 	Retries  budget.Config
 	Resume   resume.Config
+	Poison   poison.Config
 	Dialect  cleat.Dialect
 	Decoder  cleat.RouteTableDecoder
 
--- a/role/proxy/mesh.go
+++ b/role/proxy/mesh.go
@@ -30,6 +30,9 @@
 	}
 	e.link = l
 	r.log.Info("link to an entry up", "entry", l.Peer().Instance)
+	if m := r.poison.Complete(r.clock.Now()); m != nil {
+		r.broadcast([]cleat.Link{l}, m)
+	}
 }
 
 // LinkDown removes the link.
@@ -55,6 +58,10 @@
 		r.applyStreams(m)
 	case *cleat.StreamQuery:
 		r.answerStreams(l, m)
+	case *cleat.CrashReport:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.poison.Apply(r.clock.Now(), m)
 	default:
 		r.log.Debug("unexpected message", "kind", m.Kind(), "from", l.Peer().Instance)
 	}
@@ -133,7 +140,9 @@
 func (r *Role) reportLoop(ctx context.Context) error {
 	for {
 		r.mu.Lock()
-		m, streams := r.planner.Report(r.clock.Now()), r.streams.Report(r.clock.Now())
+		now := r.clock.Now()
+		r.tickPoison(now)
+		m, streams, crashes := r.planner.Report(now), r.streams.Report(now), r.poison.Report(now)
 		links := r.linkedEntries()
 		interval := r.cfg.ReportInterval * time.Duration(max(1, len(links)/peersPerReportInterval))
 		r.planner.SetPeers(len(links), interval)
@@ -142,6 +151,9 @@
 		if streams != nil {
 			r.broadcast(links, streams)
 		}
+		if crashes != nil {
+			r.broadcast(links, crashes)
+		}
 		if !sleep(ctx, interval) {
 			return nil
 		}
--- a/role/proxy/metrics.go
+++ b/role/proxy/metrics.go
@@ -22,6 +22,7 @@
 	lag     tally.Gauge
 	shed    tally.Gauge
 	failed  tally.Gauge
+	blocks  tally.Gauge
 	series  sync.Map // answerSeries by answerKey; bounded by the services of manifests.
 }
 
@@ -29,6 +30,7 @@
 	return &requestMetrics{
 		scope: scope, waiting: scope.Gauge("waiting"), running: scope.Gauge("running"), held: scope.Gauge("held_bytes"),
 		conns: scope.Gauge("caller_connections"), lag: scope.Gauge("lag_seconds"), shed: scope.Gauge("shed_requests"), failed: scope.Gauge("failed_accepts"),
+		blocks: scope.Gauge("quarantined_blocks"),
 	}
 }
 
@@ -40,6 +42,7 @@
 	m.conns.Update(float64(r.server.Conns()))
 	m.lag.Update(r.lag.value(r.clock.Now()).Seconds())
 	m.shed.Update(float64(r.shed.Load()))
+	m.blocks.Update(float64(r.poison.Quarantined()))
 	m.failed.Update(float64(r.server.AcceptFailures()))
 }
 
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -21,6 +21,7 @@
 	"marigoldcleat.example/cleat/link/wire"
 	"marigoldcleat.example/cleat/policy/budget"
 	"marigoldcleat.example/cleat/policy/place"
+	"marigoldcleat.example/cleat/policy/poison"
 	"marigoldcleat.example/cleat/policy/resume"
 	"marigoldcleat.example/cleat/policy/roster"
 	"marigoldcleat.example/cleat/role/node"
@@ -73,8 +74,10 @@
 	budget          *budget.Budget
 	streams         *resume.Table
 	queries         map[cleat.RequestID]*streamQuery // By the stream asked for.
-	queryScheduled  bool                             // sendQueries is about to run.
-	waiters         map[uint64]chan place.Verdict    // By job ID.
+	poison          *poison.Table
+	endChecks       map[endCheckKey]*endCheck
+	queryScheduled  bool                          // sendQueries is about to run.
+	waiters         map[uint64]chan place.Verdict // By job ID.
 	pools           map[cleat.UpstreamID]*pool
 	entries         map[cleat.InstanceID]*entryLink
 	lastJobID       uint64 // IDs are assigned in order.
@@ -117,6 +120,8 @@
 		budget:         budget.New(cfg.Retries),
 		streams:        resume.New(cfg.Resume),
 		queries:        make(map[cleat.RequestID]*streamQuery),
+		poison:         poison.New(cfg.Poison),
+		endChecks:      make(map[endCheckKey]*endCheck),
 		waiters:        make(map[uint64]chan place.Verdict),
 		pools:          make(map[cleat.UpstreamID]*pool),
 		entries:        make(map[cleat.InstanceID]*entryLink),
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -30,6 +30,9 @@
 		return
 	}
 	for {
+		if x.refuseQuarantined() {
+			return
+		}
 		v, pending := x.role.submit(x.job)
 		if pending != nil || v.Placed() {
 			x.watchCaller()
@@ -50,6 +53,10 @@
 			x.endCanceled()
 			return
 		}
+		if pending != nil && x.refuseQuarantined() {
+			x.role.recordEnd(x.job, place.OutcomeNotSent)
+			return
+		}
 		x.logDecision("placed", "upstream", v.Upstream.Upstream, "version", v.Upstream.Version, "phase", v.Upstream.Phase, "sequence", v.Upstream.Sequence, "resumes", x.info.Resumes,
 			"prompt", x.job.PromptTokens, "unread", v.PrefillTokens, "output", x.job.OutputTokens, "backlog", v.BacklogTokens)
 		res, answer := x.tryUpstream(v.Upstream)
@@ -99,6 +106,10 @@
 	if x.events.started && !x.pinVersion() {
 		return false
 	}
+	if res != resultNotRun && !x.allowsRepeat() {
+		x.logDecision("repeat", "upstream", tried.Upstream, "attempts", x.attempts, "allowed", false, "blocks", x.blockNames())
+		return false
+	}
 	x.job.Tried = append(x.job.Tried, tried.Upstream)
 	if x.attempts == 0 {
 		return true
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -44,6 +44,8 @@
 	attempts      int       // Upstreams that the request was sent to.
 	mayHaveRun    bool      // An upstream may have run the request.
 	answerStarted bool      // The current attempt's answer has started.
+	attemptEvents int       // Events relayed in the current attempt.
+	begun         bool      // The current attempt's answer has gone so far that its prompt crashes no upstream.
 	events        eventState
 }
 
--- a/role/proxy/stream.go
+++ b/role/proxy/stream.go
@@ -65,8 +65,12 @@
 }
 
 func (x *exchange) relayEvents(resp *http.Response, events []byte) error {
+	n := bytes.Count(events, eventEnd)
 	if x.answerStarted {
-		x.role.recordEvents(x.job, bytes.Count(events, eventEnd))
+		x.role.recordEvents(x.job, n)
+	}
+	if x.attemptEvents += n; x.attemptEvents >= begunEvents {
+		x.recordBegun()
 	}
 	x.recordFirstBytes()
 	if !x.events.started {
@@ -103,6 +107,7 @@
 		return x.handleStreamBroken(u, io.ErrUnexpectedEOF)
 	}
 	x.releaseConn(p, conn, resp)
+	x.recordBegun()
 	x.role.recordEnd(x.job, place.OutcomeServed)
 	x.logDecision("streamed", "upstream", u.Upstream, "attempts", x.attempts, "last_event", x.events.lastID)
 	x.role.requestMetrics.recordAnswer(x.service, "200", x.role.clock.Now().Sub(x.arrived))
@@ -120,6 +125,7 @@
 	x.mayHaveRun = true
 	x.role.recordEnd(x.job, place.OutcomeFailed)
 	x.logDecision("stream_broken", "upstream", u.Upstream, "err", err, "after_event", x.events.lastID, "attempts", x.attempts, "blocks", x.blockNames())
+	x.recordBroken(u)
 	if x.events.started {
 		return resultBroken
 	}
