Limit what is read from upstreams and control in bytes

A server may send bytes without end, in a head or a body. An entry kept a head until its deadline and grew to 525 MiB on a machine of 134: http.ReadResponse limits neither heads nor the informational answers before them.

An upstream's connection now reads through a bound: 64 KiB for a head with the informational answers before it, 256 MiB for a body with its chunk headers, extensions and trailers. At the bound the read fails, the connection is closed and the request ends like any broken attempt. Agents bound the body, cleatctl the header and an overlong body, and the APIs of all roles the heads of calls; links and manifests had limits already.

--- a/role/admin/client.go
+++ b/role/admin/client.go
@@ -23,6 +23,7 @@
 	CallTimeout      = 15 * time.Second
 	retryDelay       = 300 * time.Millisecond
 	maxResponseBytes = 64 << 20
+	maxHeaderBytes   = 64 << 10
 )
 
 // Error is a failed call. It has the problem that a control instance returned, or the
@@ -46,7 +47,9 @@
 
 // NewClient returns a client of the control instances whose base URLs are servers.
 func NewClient(servers []string, token string) *Client {
-	return &Client{servers: servers, token: token, http: &http.Client{}}
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHeaderBytes
+	return &Client{servers: servers, token: token, http: &http.Client{Transport: t}}
 }
 
 // Get sends a query and decodes the response into out.
@@ -167,10 +170,13 @@
 		return trace.ConnectionProblem(err, "Client.once: %v", err)
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return trace.ConnectionProblem(err, "Client.once: %v", err)
 	}
+	if len(answer) > maxResponseBytes {
+		return trace.ConnectionProblem(nil, "Client.once: the response has more than %d bytes", maxResponseBytes)
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return responseError(resp.StatusCode, answer)
 	}
--- a/role/admin/client_test.go
+++ b/role/admin/client_test.go
@@ -1,8 +1,10 @@
 package admin_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -54,6 +56,36 @@
 		})
 	}
 
+	It("gives up on a response whose header has no end", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = l.Close() }()
+		written := make(chan int, 100)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				n := 0
+				for b := []byte("HTTP/1.1 200 OK\r\n"); err == nil && n < 64<<20; b = bytes.Repeat([]byte("X: y\r\n"), 1000) {
+					var m int
+					m, err = c.Write(b)
+					n += m
+				}
+				_ = c.Close()
+				written <- n
+			}
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		var out struct{}
+		Expect(admin.NewClient([]string{"http://" + l.Addr().String()}, "t").Get(ctx, "/x", nil, &out)).NotTo(Succeed())
+		var n int
+		Eventually(written, 5*time.Second).Should(Receive(&n))
+		Expect(n).To(BeNumerically("<", 9<<20)) // The limit and the buffers of the sockets.
+	})
+
 	It("fails over to the next instance when one is down", func() {
 		closed := newServer(http.StatusOK, "")
 		closed.Close()
--- a/role/agent/agent.go
+++ b/role/agent/agent.go
@@ -112,7 +112,7 @@
 		return trace.NewAggregate(err, server.Shutdown(context.Background()))
 	}
 	a.httpListener = listener
-	a.httpServer = &http.Server{Handler: a.routes(echo.New()), ReadHeaderTimeout: readHeaderTimeout}
+	a.httpServer = &http.Server{Handler: a.routes(echo.New()), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxResponseHeaderBytes}
 	return nil
 }
 
--- a/role/agent/engine.go
+++ b/role/agent/engine.go
@@ -21,17 +21,19 @@
 	idleConnTimeout        = 90 * time.Second
 	maxIdleConns           = 128
 	maxResponseHeaderBytes = 64 << 10
+	defaultMaxAnswerBytes  = 256 << 20
 	maxProblemBytes        = 256
 )
 
 // HTTPEngine is the HTTP client of one upstream.
 type HTTPEngine struct {
-	base         string
-	canResume    bool
-	stallTimeout time.Duration
-	orderTimeout time.Duration
-	keepAlive    *http.Transport // Reuses connections, and may therefore resend a request by itself.
-	singleUse    *http.Transport // Opens a connection for each request, so that no request is sent twice.
+	base           string
+	canResume      bool
+	maxAnswerBytes int64 // Of a body; a longer answer fails.
+	stallTimeout   time.Duration
+	orderTimeout   time.Duration
+	keepAlive      *http.Transport // Reuses connections, and may therefore resend a request by itself.
+	singleUse      *http.Transport // Opens a connection for each request, so that no request is sent twice.
 }
 
 // NewHTTPEngine returns a client of the upstream announced by a. stallTimeout limits
@@ -48,7 +50,7 @@
 	}
 	return &HTTPEngine{
 		base: strings.TrimSuffix(base, "/"), canResume: a.CanResume, stallTimeout: stallTimeout, orderTimeout: orderTimeout,
-		keepAlive: newTransport(false), singleUse: newTransport(true),
+		keepAlive: newTransport(false), singleUse: newTransport(true), maxAnswerBytes: defaultMaxAnswerBytes,
 	}, nil
 }
 
--- a/role/agent/engine_test.go
+++ b/role/agent/engine_test.go
@@ -153,6 +153,36 @@
 		})
 	}
 
+	for name, start := range map[string]string{
+		"a head": "HTTP/1.1 200 OK\r\n",
+		"a body": "HTTP/1.1 200 OK\r\n\r\n",
+	} {
+		It("gives up on "+name+" without end", func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = l.Close() }()
+			written := make(chan int, 1)
+			go func() {
+				c, err := l.Accept()
+				n := 0
+				for b := []byte(start); err == nil && n < 64<<20; b = bytes.Repeat([]byte("X: y\r\n"), 1000) {
+					n += len(b)
+					_, err = c.Write(b)
+				}
+				written <- n
+			}()
+			e := client(cleat.Announcement{Address: l.Addr().String()})
+			e.SetMaxAnswerBytes(1 << 20)
+			c := &collector{}
+			outcome := e.Run(context.Background(), plainCall(), c)
+			Expect(outcome.Kind).NotTo(Equal(cleat.OutcomeDone))
+			Expect(len(c.text)).To(BeNumerically("<=", 1<<20))
+			var n int
+			Eventually(written, 5*time.Second).Should(Receive(&n))
+			Expect(n).To(BeNumerically("<", 10<<20)) // The limit and the buffers of the sockets.
+		})
+	}
+
 	It("forwards the failure status of an action", func() {
 		p := plain()
 		p.SetFault(fakes.Fault{Kind: fakes.FaultStatus})
--- a/role/agent/exchange.go
+++ b/role/agent/exchange.go
@@ -44,6 +44,7 @@
 	stall     *stallTimer
 	events    *sseParser // Nil unless the answer is an event stream of a model.
 	tail      usageTail
+	received  int64       // Bytes of the body, over all resumptions.
 	gotConn   atomic.Bool // A connection was obtained, so the request may have reached the upstream.
 	status    int
 }
@@ -139,6 +140,9 @@
 		x.stall.start()
 		n, err := body.Read(*buf)
 		x.stall.pause()
+		if x.received += int64(n); x.received > x.engine.maxAnswerBytes {
+			return trace.LimitExceeded("exchange.copyBody: the answer has more than %d bytes", x.engine.maxAnswerBytes)
+		}
 		if n > 0 {
 			if err := x.forward((*buf)[:n]); err != nil {
 				return err
--- a/role/agent/export_test.go
+++ b/role/agent/export_test.go
@@ -63,3 +63,6 @@
 
 // Detach records that l is down.
 func (r Run) Detach(l cleat.Link, now time.Time) { r.detach(l, now) }
+
+// SetMaxAnswerBytes replaces the limit on the size of an answer.
+func (e *HTTPEngine) SetMaxAnswerBytes(n int64) { e.maxAnswerBytes = n }
--- a/role/ctrl/role.go
+++ b/role/ctrl/role.go
@@ -30,6 +30,9 @@
 
 const shutdownTimeout = 5 * time.Second
 
+// maxHeaderBytes bounds the head of a call to the API.
+const maxHeaderBytes = 64 << 10
+
 // Role is one control instance.
 type Role struct {
 	cfg           Config
@@ -219,7 +222,7 @@
 
 // addHTTP serves a handler until the role ends.
 func (r *Role) addHTTP(g *run.Group, l net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: shutdownTimeout}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: shutdownTimeout, MaxHeaderBytes: maxHeaderBytes}
 	g.Add(func() error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/role/proxy/config.go
+++ b/role/proxy/config.go
@@ -26,6 +26,7 @@
 	DefaultMaxKeepAliveConns = 2000
 	DefaultMaxBodyBytes      = 4 << 20
 	DefaultMaxHeldBytes      = 16 << 20
+	DefaultMaxAnswerBytes    = 256 << 20
 )
 
 // Config holds the settings of a forwarding entry.
@@ -57,6 +58,7 @@
 	GracePeriod       time.Duration // From the start of a graceful shutdown to its end.
 	MaxBodyBytes      int64         // Size of a request's body.
 	MaxHeldBytes      int64         // Total size of the request bodies in memory.
+	MaxAnswerBytes    int64         // Size of an upstream's answer, with its framing; a longer one is broken off.
 	MaxKeepAliveConns int           // Open connections of callers above which answers carry "Connection: close".
 }
 
@@ -77,6 +79,7 @@
 	cleat.SetDefault(&c.GracePeriod, DefaultGracePeriod)
 	cleat.SetDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
 	cleat.SetDefault(&c.MaxHeldBytes, DefaultMaxHeldBytes)
+	cleat.SetDefault(&c.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	cleat.SetDefault(&c.MaxKeepAliveConns, DefaultMaxKeepAliveConns)
 }
 
--- a/role/proxy/conn.go
+++ b/role/proxy/conn.go
@@ -30,12 +30,41 @@
 // upstreamConn is one connection to an upstream.
 type upstreamConn struct {
 	net      net.Conn
+	in       *boundedReader // Below br; see readHead.
 	br       *bufio.Reader
+	cfg      *Config
 	reused   bool
 	dialedAt time.Time
 	expiry   time.Time // From then on it must not be reused.
 }
 
+func newUpstreamConn(c net.Conn, cfg *Config, now time.Time) *upstreamConn {
+	in := &boundedReader{r: c}
+	return &upstreamConn{net: c, in: in, br: bufio.NewReaderSize(in, 4<<10), cfg: cfg, dialedAt: now}
+}
+
+// boundedReader reads at most a number of bytes, whatever they are: http.ReadResponse
+// bounds neither heads nor informational answers.
+type boundedReader struct {
+	r    io.Reader
+	left int64
+}
+
+// errTooLong is the error of an upstream that sends more than it may.
+var errTooLong = errors.New("the upstream sends too many bytes")
+
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
+// maxHeadBytes bounds an answer's head, with the informational answers before it.
+const maxHeadBytes = 64 << 10
+
 // errNotSent marks a failure to connect, before any byte was sent.
 var errNotSent = errors.New("not sent")
 
@@ -99,7 +128,7 @@
 	if err != nil {
 		return nil, trace.Wrap(errNotSent, "pool.dial: %v", err)
 	}
-	return &upstreamConn{net: c, br: bufio.NewReaderSize(c, 4<<10), dialedAt: now}, nil
+	return newUpstreamConn(c, p.cfg, now), nil
 }
 
 // setUserTimeout sets how long sent bytes may stay unacknowledged before the kernel
@@ -238,14 +267,17 @@
 	return nil
 }
 
-// readHead returns the head of the next final answer, skipping informational (1xx) ones.
+// readHead returns the head of the next final answer, skipping informational (1xx)
+// ones. It bounds what is read for them and then for the body.
 func (c *upstreamConn) readHead(method string) (*http.Response, error) {
+	c.in.left = maxHeadBytes
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			c.in.left = c.cfg.MaxAnswerBytes
 			return resp, nil
 		}
 	}
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -234,7 +234,7 @@
 }
 
 func (r *Role) addHTTP(g *run.Group, l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: apiHeaderTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: apiHeaderTimeout, MaxHeaderBytes: maxHeadBytes}
 	g.Add(func() error { return serveHTTP(s, l) }, func(error) { r.stopServer(s.Shutdown) })
 }
 
