Count a broken request against its blocks once its upstream is replaced

A request whose upstream broke off counted against the blocks of its prompt only if the upstream's address refused a connection right afterwards. An upstream that accepts and closes, that falls silent, or whose successor is up at once left no evidence, so a block that ends such upstreams was never quarantined.

At most 256 such requests are kept.

--- a/policy/poison/fleet_test.go
+++ b/policy/poison/fleet_test.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		m.lastID++
-		m.entries[r.entry].RecordFailure(m.now, u, cleat.RequestID(fmt.Sprint(m.lastID)), r.blocks)
+		m.entries[r.entry].RecordBreak(m.now, u, cleat.RequestID(fmt.Sprint(m.lastID)), r.blocks, true)
 	}
 	m.running = kept
 }
--- a/policy/poison/table.go
+++ b/policy/poison/table.go
@@ -54,6 +54,7 @@
 // Table holds an entry's evidence on prompt blocks.
 type Table struct {
 	cfg         Config
+	breaks      []*failure // Of upstreams that are not known to have ended.
 	failures    []*failure // In order of arrival.
 	evidence    int        // Blocks in all failures together.
 	suspects    map[blockKey]*suspect
@@ -82,15 +83,45 @@
 	return h.Sum64()
 }
 
-// RecordFailure records that an upstream ended before it had begun to answer a
-// request; blocks are those that other requests may share.
-func (t *Table) RecordFailure(now time.Time, u cleat.UpstreamRecord, id cleat.RequestID, blocks []cleat.PrefixBlock) {
-	t.outcomes.turn(now)
-	t.outcomes.current.broken++
+// RecordBreak records that an upstream broke off before it had begun to answer a
+// request; blocks are those that other requests may share. That counts as a failure
+// once the upstream has ended, which may be known already.
+func (t *Table) RecordBreak(now time.Time, u cleat.UpstreamRecord, id cleat.RequestID, blocks []cleat.PrefixBlock, ended bool) {
 	f := &failure{service: u.Service, upstream: u.Upstream, born: u.StartedAtMillis, request: hashID(id), at: now, isLocal: true}
 	for _, b := range blocks {
 		f.blocks = append(f.blocks, b.ID)
 	}
+	if ended {
+		t.recordFailure(now, f)
+		return
+	}
+	if len(t.breaks) >= maxBreaks {
+		t.breaks = slices.Delete(t.breaks, 0, 1)
+	}
+	t.breaks = append(t.breaks, f)
+}
+
+const (
+	maxBreaks      = 256              // Of upstreams that are not known to have ended.
+	breakRetention = 10 * time.Second // Within which an upstream that ended is replaced.
+)
+
+// RecordEnd records that an incarnation of an upstream has ended.
+func (t *Table) RecordEnd(now time.Time, u cleat.UpstreamRecord) {
+	t.breaks = slices.DeleteFunc(t.breaks, func(f *failure) bool {
+		if f.upstream != u.Upstream || f.born != u.StartedAtMillis {
+			return now.Sub(f.at) > breakRetention
+		}
+		if now.Sub(f.at) <= breakRetention {
+			t.recordFailure(now, f)
+		}
+		return true
+	})
+}
+
+func (t *Table) recordFailure(now time.Time, f *failure) {
+	t.outcomes.turn(now)
+	t.outcomes.current.broken++
 	if t.addFailure(f) {
 		t.newFailures = append(t.newFailures, f)
 	}
--- a/policy/poison/table_test.go
+++ b/policy/poison/table_test.go
@@ -47,7 +47,7 @@
 	u := cleat.UpstreamRecord{Upstream: cleat.UpstreamID(fmt.Sprintf("u%d", r.n)), Service: service, StartedAtMillis: int64(r.n)}
 	for _, ids := range requests {
 		r.n++
-		r.RecordFailure(r.now, u, cleat.RequestID(fmt.Sprint(r.n)), blocks(ids...))
+		r.RecordBreak(r.now, u, cleat.RequestID(fmt.Sprint(r.n)), blocks(ids...), true)
 	}
 }
 
@@ -97,7 +97,29 @@
 		"one request, repeated at upstreams that ended": {func(r *rig) {
 			for i := range 6 {
 				u := cleat.UpstreamRecord{Upstream: cleat.UpstreamID(fmt.Sprint("v", i)), Service: service, StartedAtMillis: 1}
-				r.RecordFailure(r.now, u, "same", blocks(bad))
+				r.RecordBreak(r.now, u, "same", blocks(bad), true)
+			}
+		}, false},
+		"broken connections to upstreams that go on": {func(r *rig) {
+			for i := range 6 {
+				u := cleat.UpstreamRecord{Upstream: "u", Service: service, StartedAtMillis: 1}
+				r.RecordBreak(r.now, u, cleat.RequestID(fmt.Sprint(i)), blocks(bad), false)
+			}
+		}, false},
+		"broken connections to upstreams that are replaced soon": {func(r *rig) {
+			for i := range 6 {
+				u := cleat.UpstreamRecord{Upstream: "u", Service: service, StartedAtMillis: int64(i)}
+				r.RecordBreak(r.now, u, cleat.RequestID(fmt.Sprint(i)), blocks(bad), false)
+				r.wait(3 * time.Second)
+				r.RecordEnd(r.now, u)
+			}
+		}, true},
+		"broken connections to upstreams that are replaced much later": {func(r *rig) {
+			for i := range 6 {
+				u := cleat.UpstreamRecord{Upstream: "u", Service: service, StartedAtMillis: int64(i)}
+				r.RecordBreak(r.now, u, cleat.RequestID(fmt.Sprint(i)), blocks(bad), false)
+				r.wait(time.Minute)
+				r.RecordEnd(r.now, u)
 			}
 		}, false},
 		"an answer among the crashes": {func(r *rig) {
--- a/policy/roster/table.go
+++ b/policy/roster/table.go
@@ -168,6 +168,9 @@
 	return r.record, true
 }
 
+// AddressOwner returns the upstream to which an address belongs, or an empty id.
+func (t *Table) AddressOwner(addr string) cleat.UpstreamID { return t.addressOwner[addr] }
+
 // SoleVersion returns the software version of a service's upstreams, or false unless
 // all have the same. Upstreams that have left, or whose address another one has taken,
 // count for WithdrawnRetention longer.
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -76,6 +76,7 @@
 	changed := false
 	for _, rec := range list {
 		r.recordRestart(now, rec)
+		r.recordReplaced(now, rec)
 		if !r.roster.Add(now, rec) {
 			continue
 		}
--- a/role/proxy/poison.go
+++ b/role/proxy/poison.go
@@ -1,10 +1,7 @@
 package proxy
 
 import (
-	"errors"
-	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -20,18 +17,6 @@
 	quarantineRetryAfter = 30 * time.Second
 )
 
-// endCheck is a check whether an upstream has ended.
-type endCheck struct {
-	done  chan struct{} // Closed when ended is set.
-	ended bool
-}
-
-// endCheckKey identifies an upstream's incarnation.
-type endCheckKey struct {
-	upstream cleat.UpstreamID
-	born     int64
-}
-
 // refuseQuarantined refuses a request whose prompt has a block that crashes upstreams.
 // It returns false if there is none.
 func (x *exchange) refuseQuarantined() bool {
@@ -79,12 +64,9 @@
 	r.mu.Unlock()
 	id := x.info.ID
 	record := func(ended bool) {
-		if !ended {
-			return
-		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.poison.RecordFailure(r.clock.Now(), u, id, blocks)
+		r.poison.RecordBreak(r.clock.Now(), u, id, blocks, ended)
 	}
 	if isProven {
 		go func() { record(r.hasEnded(u)) }()
@@ -93,33 +75,14 @@
 	record(r.hasEnded(u))
 }
 
-// hasEnded reports whether an upstream has ended: its address refuses connections. One
-// that doesn't answer at all may as well be out of reach. Concurrent calls for one
-// incarnation share a check.
-func (r *Role) hasEnded(u cleat.UpstreamRecord) bool {
-	k := endCheckKey{u.Upstream, u.StartedAtMillis}
-	r.mu.Lock()
-	c, running := r.endChecks[k]
-	if !running {
-		c = &endCheck{done: make(chan struct{})}
-		r.endChecks[k] = c
-	}
-	r.mu.Unlock()
-	if running {
-		<-c.done
-		return c.ended
-	}
-	conn, err := net.DialTimeout("tcp", u.Address, r.cfg.DialTimeout)
-	if err == nil {
-		_ = conn.Close() // Nothing was sent on it.
+// recordReplaced handles the record of an upstream's next incarnation, or of another
+// upstream that has taken its address: the earlier one has ended. The caller holds r.mu.
+func (r *Role) recordReplaced(now time.Time, next cleat.UpstreamRecord) {
+	for _, id := range []cleat.UpstreamID{next.Upstream, r.roster.AddressOwner(next.Address)} {
+		if old, ok := r.roster.ByID(id); ok && old.StartedAtMillis < next.StartedAtMillis {
+			r.poison.RecordEnd(now, old)
+		}
 	}
-	c.ended = errors.Is(err, syscall.ECONNREFUSED)
-	r.decisions.Log(r.clock.Now(), "upstream_checked", "upstream", u.Upstream, "address", u.Address, "ended", c.ended, "err", err)
-	r.mu.Lock()
-	delete(r.endChecks, k)
-	r.mu.Unlock()
-	close(c.done)
-	return c.ended
 }
 
 // allowsRepeat reports whether the prompt's blocks allow that a failed request is sent
