Propose a node's claims in the order in which they arrive

A repeat with an idempotency key, sent right after the first answer, could get 409 key_in_use in place of that answer.

Cause: a control instance proposed each claim and each outcome in a goroutine of its own, so a claim that arrived after an outcome could enter the log before it. The command is proposed as the message is handled now, and only the wait for its result has its own goroutine; concurrent claims share a disk sync as before.

--- a/role/ctrl/leader.go
+++ b/role/ctrl/leader.go
@@ -68,7 +68,7 @@
 
 func (r *Role) markHolderLost(h claim.Holder) {
 	r.log.Warn("entry lost; its claims are in doubt", "entry", h.Instance, "incarnation", h.Incarnation)
-	if _, err := r.proposeClaim(claim.Command{Holder: h, Lost: true}); err != nil {
+	if _, err := r.startClaim(claim.Command{Holder: h, Lost: true})(); err != nil {
 		r.log.Debug("loss of entry not recorded yet", "entry", h.Instance, "err", err)
 	}
 }
@@ -79,7 +79,7 @@
 	if n, _ := r.machine.Claims(); n == 0 {
 		return
 	}
-	if _, err := r.proposeClaim(claim.Command{Tick: true}); err != nil {
+	if _, err := r.startClaim(claim.Command{Tick: true})(); err != nil {
 		r.log.Debug("claims' clock not advanced", "err", err)
 	}
 }
--- a/role/ctrl/propose.go
+++ b/role/ctrl/propose.go
@@ -16,12 +16,17 @@
 func (r *Role) propose(ctx context.Context, c command, timeout time.Duration, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	b, err := r.host.Propose(ctx, encode(&c))
+	return decodeResult(ctx, r.host.StartPropose(encode(&c)), result)
+}
+
+// decodeResult waits for the result of a proposed command and decodes it.
+func decodeResult(ctx context.Context, await func(context.Context) ([]byte, error), result any) error {
+	b, err := await(ctx)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	if err := msgpack.Unmarshal(b, result); err != nil {
-		return trace.ConnectionProblem(err, "Role.propose: the result can't be read")
+		return trace.ConnectionProblem(err, "decodeResult: the result can't be read")
 	}
 	return nil
 }
@@ -56,18 +61,24 @@
 	return result, err
 }
 
-// proposeClaim proposes a command of the claim table.
-func (r *Role) proposeClaim(c claim.Command) (cleat.ClaimResult, error) {
-	var result cleat.ClaimResult
+// startClaim proposes a command of the claim table and returns a function that waits
+// for its result.
+func (r *Role) startClaim(c claim.Command) func() (cleat.ClaimResult, error) {
 	started := r.clock.Now()
 	c.Elapsed = r.machine.Elapsed(started)
-	if err := r.propose(r.ctx, command{Claim: &c}, r.cfg.ClaimTimeout, &result); err != nil {
-		r.instruments.countClaim(cleat.ClaimNoQuorum)
-		return result, err
+	await := r.host.StartPropose(encode(&command{Claim: &c}))
+	return func() (cleat.ClaimResult, error) {
+		ctx, cancel := context.WithTimeout(r.ctx, r.cfg.ClaimTimeout)
+		defer cancel()
+		var result cleat.ClaimResult
+		if err := decodeResult(ctx, await, &result); err != nil {
+			r.instruments.countClaim(cleat.ClaimNoQuorum)
+			return result, err
+		}
+		r.instruments.countClaim(result.State)
+		r.instruments.claim.RecordDuration(r.clock.Now().Sub(started))
+		return result, nil
 	}
-	r.instruments.countClaim(result.State)
-	r.instruments.claim.RecordDuration(r.clock.Now().Sub(started))
-	return result, nil
 }
 
 func (r *Role) handleClaim(l cleat.Link, m *cleat.Claim) {
@@ -87,7 +98,8 @@
 	return claim.Holder{Instance: l.Peer().Instance, Incarnation: l.Peer().Incarnation}
 }
 
-// answerClaim proposes in a new goroutine, so that concurrent claims share a disk sync.
+// answerClaim proposes at once, so that a claim follows the outcomes that its node sent
+// before, and waits in a new goroutine, so that concurrent claims share a disk sync.
 // Above MaxClaimsInFlight the node is answered at once with no_quorum.
 func (r *Role) answerClaim(l cleat.Link, call uint64, c claim.Command) {
 	select {
@@ -96,9 +108,10 @@
 		r.sendOrLog(l, &cleat.ClaimResult{Call: call, State: cleat.ClaimNoQuorum})
 		return
 	}
+	await := r.startClaim(c)
 	go func() {
 		defer func() { <-r.claimSlots }()
-		result, err := r.proposeClaim(c)
+		result, err := await()
 		if err != nil {
 			r.log.Debug("claim not answered", "node", l.Peer().Instance, "err", err)
 			result = cleat.ClaimResult{Call: call, State: cleat.ClaimNoQuorum}
--- a/role/ctrl/role_test.go
+++ b/role/ctrl/role_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -223,6 +224,32 @@
 		})
 	})
 
+	// A repeat sent right after the first answer got 409 key_in_use.
+	It("handles a claim after the outcome that its node sent before", func() {
+		f := newFleet("c1", "c2", "c3")
+		defer f.stop()
+		n, stop := f.startNode("n1", cleat.RoleEntry, node.Config{}, nil)
+		defer stop()
+		var g sync.WaitGroup
+		var running atomic.Int64
+		for w := range 16 {
+			g.Go(func() {
+				defer GinkgoRecover()
+				for i := range 40 {
+					m := cleat.Claim{Workspace: "ring/desk", Key: fmt.Sprintf("%d-%d", w, i), Request: "first"}
+					Expect(n.Claim(m, time.Now().Add(eventuallyTimeout)).State).To(Equal(cleat.ClaimGranted))
+					n.Record(cleat.ClaimOutcome{Workspace: m.Workspace, Key: m.Key, Request: "first", Outcome: cleat.OutcomeDone})
+					m.Request = "second"
+					if n.Claim(m, time.Now().Add(eventuallyTimeout)).State != cleat.ClaimDone {
+						running.Add(1)
+					}
+				}
+			})
+		}
+		g.Wait()
+		Expect(running.Load()).To(BeZero())
+	})
+
 	It("puts the claims of a lost entry in doubt and never grants them again", func() {
 		f := newConfiguredFleet(func(cfg *ctrl.Config) {
 			cfg.HolderLostAfter = time.Second
--- a/state/quorum/host.go
+++ b/state/quorum/host.go
@@ -141,17 +141,26 @@
 // applied on this replica. A trace.ConnectionProblem error means that the outcome
 // is unknown, a trace.LimitExceeded error that it was certainly not accepted.
 func (h *Host) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return h.StartPropose(command)(ctx)
+}
+
+// StartPropose proposes a command and returns a function that waits for its result, to
+// be called once. Commands enter the log in the order in which they are proposed,
+// unless one is lost on its way to the leader.
+func (h *Host) StartPropose(command []byte) func(ctx context.Context) ([]byte, error) {
 	var result []byte
-	err := h.wait(ctx, func(now time.Time, done func(error)) uint64 {
+	await := h.begin(func(now time.Time, done func(error)) uint64 {
 		return h.replica.Propose(now, command, func(r []byte, err error) {
 			result = r
 			done(err)
 		})
 	})
-	if err != nil {
-		return nil, trace.Wrap(err)
+	return func(ctx context.Context) ([]byte, error) {
+		if err := await(ctx); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		return result, nil
 	}
-	return result, nil
 }
 
 // ReadBarrier returns once the local state includes everything that was committed
@@ -231,21 +240,28 @@
 
 // wait calls start and waits until done is called or ctx ends.
 func (h *Host) wait(ctx context.Context, start func(time.Time, func(error)) uint64) error {
+	return h.begin(start)(ctx)
+}
+
+// begin calls start and returns a function that waits until done is called or ctx ends.
+func (h *Host) begin(start func(time.Time, func(error)) uint64) func(ctx context.Context) error {
 	done := make(chan error, 1)
 	var id uint64
 	if err := h.checkAvailable(); err != nil {
-		return trace.Wrap(err)
+		return func(context.Context) error { return trace.Wrap(err) }
 	}
 	h.withReplica(func(now time.Time) {
 		id = start(now, func(err error) { done <- err })
 	})
-	select {
-	case err := <-done:
-		return trace.Wrap(err)
-	case <-ctx.Done():
+	return func(ctx context.Context) error {
+		select {
+		case err := <-done:
+			return trace.Wrap(err)
+		case <-ctx.Done():
+		}
+		h.withReplica(func(time.Time) { h.replica.RemoveWaiter(id) })
+		return trace.ConnectionProblem(ctx.Err(), "Host.begin: canceled or timed out before an answer; the outcome is unknown")
 	}
-	h.withReplica(func(time.Time) { h.replica.RemoveWaiter(id) })
-	return trace.ConnectionProblem(ctx.Err(), "Host.wait: canceled or timed out before an answer; the outcome is unknown")
 }
 
 // checkAvailable returns a trace.LimitExceeded error once the host has stopped or
