--- a/role/agent/engine_test.go
+++ b/role/agent/engine_test.go
@@ -191,6 +191,14 @@
 		Expect(c.status).To(Equal(503))
 	})
 
+	It("doesn't count the time to connect as a stall", func() {
+		e := client(engine(nil).Announcement())
+		e.DelayDials(2 * stallTimeout)
+		var sink collector
+		Expect(e.Run(ctx, modelCall(3), &sink).Kind).To(Equal(cleat.OutcomeDone))
+		expectCompleteStream(sink.text, 3)
+	})
+
 	It("applies no stall timeout to a non-repeatable call", func() {
 		p := plain()
 		release := p.HoldAnswers()
--- a/role/agent/exchange.go
+++ b/role/agent/exchange.go
@@ -96,14 +96,16 @@
 	if x.call.Repeatable {
 		transport = x.engine.keepAlive
 	}
-	x.stall.start()
 	defer x.stall.pause()
-	return transport.RoundTrip(req)
+	return transport.RoundTrip(req) // Starts the stall timer once it has a connection.
 }
 
 func (x *exchange) newRequest(lastEvent string) (*http.Request, error) {
 	ctx := httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { x.gotConn.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			x.gotConn.Store(true)
+			x.stall.start()
+		},
 	})
 	var body io.Reader
 	if len(x.call.Body) > 0 {
--- a/role/agent/export_test.go
+++ b/role/agent/export_test.go
@@ -1,6 +1,9 @@
 package agent
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -66,3 +69,14 @@
 
 // SetMaxAnswerBytes replaces the limit on the size of an answer.
 func (e *HTTPEngine) SetMaxAnswerBytes(n int64) { e.maxAnswerBytes = n }
+
+// DelayDials makes each new connection of the engine take longer by d.
+func (e *HTTPEngine) DelayDials(d time.Duration) {
+	for _, t := range []*http.Transport{e.keepAlive, e.singleUse} {
+		dial := t.DialContext
+		t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			time.Sleep(d)
+			return dial(ctx, network, addr)
+		}
+	}
+}
