Close a connection whose discarded answer is longer than what is read

After a late answer of more than 64 KiB, a caller could get bytes of that answer as if they were its own.

Cause: the entry read 64 KiB of an answer that it discarded and then kept the connection, whatever was left; the rest was read as the head of the next answer. The connection is closed unless the body ended, there and after an answer that says that the request didn't run.

--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -121,11 +121,10 @@
 	return resultFailed
 }
 
-// discardAnswer reads the rest of an answer that is not relayed, up to
-// maxDiscardBytes, so that releaseConn can keep the connection. It closes the
-// connection if reading fails.
+// discardAnswer reads the rest of an answer that is not relayed, so that releaseConn
+// can keep the connection. It closes the connection if that fails.
 func (x *exchange) discardAnswer(p *pool, conn *upstreamConn, resp *http.Response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil {
+	if err := discard(resp.Body); err != nil {
 		conn.close()
 		return
 	}
--- a/role/proxy/conn.go
+++ b/role/proxy/conn.go
@@ -246,12 +246,22 @@
 		if stale >= maxStaleAnswers || !c.reused || info.ID == "" {
 			return nil, info, trace.BadParameter("upstreamConn.roundTrip: the answer belongs to request %q", info.ID)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil {
+		if err := discard(resp.Body); err != nil {
 			return nil, info, trace.Wrap(err, "upstreamConn.roundTrip: discarding a late answer to %q", info.ID)
 		}
 	}
 }
 
+// discard reads the rest of a body. It returns errTooLong after maxDiscardBytes; the
+// connection can't be used any more then.
+func discard(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes+1))
+	if err == nil && n > maxDiscardBytes {
+		err = errTooLong
+	}
+	return err
+}
+
 func (c *upstreamConn) write(head, body []byte) error {
 	if len(body) <= inlineBodyBytes {
 		if _, err := c.net.Write(append(head, body...)); err != nil {
