Flush waits for the log line that is being written

Cause: Flush waited for an empty queue, and the line being written is no longer in it. Lines are counted until they are written now. The new spec failed before: Flush returned while the writer was blocked.

--- a/role/telem/lines.go
+++ b/role/telem/lines.go
@@ -23,6 +23,7 @@
 // the queue are dropped and counted.
 type LineWriter struct {
 	lines   chan []byte
+	pending atomic.Int64 // Lines queued or being written.
 	dropped atomic.Int64
 }
 
@@ -35,9 +36,11 @@
 
 // Write queues one line; it never fails.
 func (l *LineWriter) Write(b []byte) (int, error) {
+	l.pending.Add(1)
 	select {
 	case l.lines <- append([]byte(nil), b...):
 	default:
+		l.pending.Add(-1)
 		l.dropped.Add(1)
 	}
 	return len(b), nil
@@ -46,10 +49,10 @@
 // Dropped returns the number of lines dropped.
 func (l *LineWriter) Dropped() int64 { return l.dropped.Load() }
 
-// Flush waits until the queue is empty or timeout has passed.
+// Flush waits until all queued lines are written or timeout has passed.
 func (l *LineWriter) Flush(timeout time.Duration) {
 	const pollInterval = 5 * time.Millisecond
-	for deadline := time.Now().Add(timeout); len(l.lines) > 0 && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(timeout); l.pending.Load() > 0 && time.Now().Before(deadline); {
 		time.Sleep(pollInterval)
 	}
 }
@@ -58,6 +61,7 @@
 	for line := range l.lines {
 		// A failure to write the log can't be logged.
 		_, _ = w.Write(line)
+		l.pending.Add(-1)
 	}
 }
 
--- a/role/telem/lines_test.go
+++ b/role/telem/lines_test.go
@@ -47,6 +47,28 @@
 	})
 })
 
+var _ = Describe("LineWriter.Flush", func() {
+	It("waits for the line that is being written", func() {
+		out := &blockedWriter{}
+		out.mu.Lock()
+		w := telem.NewLineWriter(out)
+		_, err := w.Write([]byte("last\n"))
+		Expect(err).NotTo(HaveOccurred())
+		flushed := make(chan struct{})
+		time.Sleep(20 * time.Millisecond) // The writer takes the line from the queue.
+		go func() {
+			w.Flush(5 * time.Second)
+			close(flushed)
+		}()
+		Consistently(flushed, "50ms").ShouldNot(BeClosed())
+		out.mu.Unlock()
+		Eventually(flushed).Should(BeClosed())
+		out.mu.Lock()
+		defer out.mu.Unlock()
+		Expect(out.written.String()).To(Equal("last\n"))
+	})
+})
+
 var _ = Describe("DecisionLog", func() {
 	It("limits the rate of each kind of line and logs how many were suppressed", func() {
 		var out bytes.Buffer
