Never pass on a long answer with a status that means not run

A caller of an action could get an upstream's own 503 of 256 KiB or more, though the action had run; callers take 503 for a promise that it has not and send it again.

Cause: statuses that callers understand as refusals were replaced only for answers that fit the buffer. Read in the code before; the new case of 'reports the true outcome of' got 503 in place of 502. A long answer with such a status fails the attempt now, as a short one does.

--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -154,6 +154,10 @@
 		x.recordBroken(u)
 		return res, nil
 	}
+	if len(body) == maxBufferedBytes && impliesNotRun(resp.StatusCode) {
+		conn.close()
+		return x.recordCorrupt(u, "a long answer with a status that callers take for a refusal"), nil
+	}
 	if len(body) == maxBufferedBytes {
 		return x.relayUnbuffered(u, p, conn, resp, body), nil
 	}
