Release the upstream of a job that is quarantined while it waits

An entry could count a request at an upstream for good: one whose stream had begun, and whose block was quarantined while its repeat waited, was aborted before its new place was given back. The place is given back before the answer is refused or aborted.

--- a/role/proxy/poison.go
+++ b/role/proxy/poison.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/place"
 	"marigoldcleat.example/cleat/policy/poison"
 )
 
@@ -18,8 +19,9 @@
 )
 
 // refuseQuarantined refuses a request whose prompt has a block that crashes upstreams.
-// It returns false if there is none.
-func (x *exchange) refuseQuarantined() bool {
+// isPlaced is set when the job was placed meanwhile. It returns false if there is no
+// such block.
+func (x *exchange) refuseQuarantined(isPlaced bool) bool {
 	r := x.role
 	r.mu.Lock()
 	q := r.poison.Check(r.clock.Now(), x.service, x.info.Prompt.SharedBlocks())
@@ -27,6 +29,9 @@
 	if q == nil {
 		return false
 	}
+	if isPlaced {
+		r.recordEnd(x.job, place.OutcomeNotSent)
+	}
 	x.logDecision("quarantined", quarantineFields(r.clock.Now(), q)...)
 	x.refuseOrAbort("quarantined", quarantineRetryAfter)
 	return true
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -30,7 +30,7 @@
 		return
 	}
 	for {
-		if x.refuseQuarantined() {
+		if x.refuseQuarantined(false) {
 			return
 		}
 		v, pending := x.role.submit(x.job)
@@ -53,8 +53,7 @@
 			x.endCanceled()
 			return
 		}
-		if pending != nil && x.refuseQuarantined() {
-			x.role.recordEnd(x.job, place.OutcomeNotSent)
+		if pending != nil && x.refuseQuarantined(true) {
 			return
 		}
 		x.logDecision("placed", "upstream", v.Upstream.Upstream, "version", v.Upstream.Version, "phase", v.Upstream.Phase, "sequence", v.Upstream.Sequence, "resumes", x.info.Resumes,
