--- a/policy/resume/report.go
+++ b/policy/resume/report.go
@@ -18,6 +18,22 @@
 		t.appendStream(now, m, k)
 	}
 	clear(t.news)
+	t.started = t.started[:0]
+	return m
+}
+
+// ReportStarted returns the streams that started here since the last report of either
+// kind, or nil when none did. It goes to a few entries, which answer for this one if it
+// fails before its next report to all.
+func (t *Table) ReportStarted(now time.Time) *cleat.StreamReport {
+	if len(t.started) == 0 {
+		return nil
+	}
+	m := &cleat.StreamReport{}
+	for _, k := range t.started {
+		t.appendStream(now, m, k)
+	}
+	t.started = t.started[:0]
 	return m
 }
 
--- a/policy/resume/table.go
+++ b/policy/resume/table.go
@@ -47,7 +47,8 @@
 type Table struct {
 	cfg     Config
 	streams map[uint64]*record
-	news    map[uint64]bool // Streams to be reported to other entries.
+	news    map[uint64]bool // Streams to be reported to all other entries.
+	started []uint64        // Streams to be reported to a few entries before that.
 	dropped uint64
 }
 
@@ -79,6 +80,7 @@
 	if r != nil {
 		r.upstream, r.sentAt = u, sentAt
 		t.news[k] = true
+		t.started = append(t.started, k)
 	}
 }
 
--- a/policy/resume/table_test.go
+++ b/policy/resume/table_test.go
@@ -55,6 +55,16 @@
 		}
 	})
 
+	It("tells a few entries at once, and still all others with the next report", func() {
+		a, b, c := resume.New(resume.Config{}), resume.New(resume.Config{}), resume.New(resume.Config{})
+		begin(a, "s1", v1)
+		b.Apply(start, a.ReportStarted(start))
+		Expect(origin(b, start, "s1")).To(Equal(v1))
+		Expect(a.ReportStarted(start)).To(BeNil())
+		c.Apply(start, a.Report(start))
+		Expect(origin(c, start, "s1")).To(Equal(v1))
+	})
+
 	It("answers an entry that restarted empty, and names what it doesn't know", func() {
 		a, restarted := resume.New(resume.Config{}), resume.New(resume.Config{})
 		begin(a, "s1", v1)
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -74,6 +74,7 @@
 	budget          *budget.Budget
 	streams         *resume.Table
 	queries         map[cleat.RequestID]*streamQuery // By the stream asked for.
+	startReportDue  bool                             // reportStarts is about to run.
 	poison          *poison.Table
 	endChecks       map[endCheckKey]*endCheck
 	queryScheduled  bool                          // sendQueries is about to run.
