--- a/cmd/cleatctl/ctrl.go
+++ b/cmd/cleatctl/ctrl.go
@@ -58,8 +58,8 @@
 	c := ctrlClause(app).Command("status", usageCtrlStatus)
 	return c.FullCommand(), func(ctx context.Context, e *env) error {
 		views, err := e.controlStatuses(ctx)
-		if e.json && err == nil {
-			return e.printJSON(views)
+		if e.json {
+			return errors.Join(e.printJSON(views), err)
 		}
 		for _, v := range views {
 			if err := e.printControlStatus(v); err != nil {
--- a/cmd/cleatctl/suite_test.go
+++ b/cmd/cleatctl/suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"testing"
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldcleat.example/cleat/link/wire"
+	"marigoldcleat.example/cleat/role/admin"
 	"marigoldcleat.example/cleat/role/ctrl"
 )
 
@@ -113,6 +115,17 @@
 		Expect(code).To(Equal(exitForbidden))
 	})
 
+	It("prints JSON of the instances that answer when another one doesn't", func() {
+		var stdout, stderr bytes.Buffer
+		args := []string{
+			"--json", "--server", role.HTTPAddr(), "--server", "127.0.0.1:1", "--token-file", filepath.Join(folder, "root-token"), "ctrl", "status",
+		}
+		Expect(execute(context.Background(), args, &stdout, &stderr)).NotTo(Equal(exitOK))
+		var views []admin.ControlStatus
+		Expect(json.Unmarshal(stdout.Bytes(), &views)).To(Succeed(), stdout.String())
+		Expect(views).To(HaveLen(1))
+	})
+
 	It("shows the fleet, a workspace and the control instances", func() {
 		mustRun("set", "/teams/ring/workspaces/desk", `{}`, "/fleet/shares/ring/desk", `{"share":2}`)
 		Expect(mustRun("status")).To(ContainSubstring("leader c1"))
