Spend less of a busy entry's processor on streams and quarantines

The lock is taken only while a block is quarantined, a link's messages are sent together, and starts are told every 20 ms.

--- a/role/proxy/mesh.go
+++ b/role/proxy/mesh.go
@@ -62,6 +62,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.poison.Apply(r.clock.Now(), m)
+		r.quarantined.Store(int64(r.poison.Quarantined()))
 	default:
 		r.log.Debug("unexpected message", "kind", m.Kind(), "from", l.Peer().Instance)
 	}
@@ -79,12 +80,14 @@
 	return links
 }
 
-// broadcast sends a message over links. One that can't be sent is lost: its link is
-// about to go down.
-func (r *Role) broadcast(links []cleat.Link, m cleat.Message) {
+// broadcast sends messages over links, all of a link at once, so that they share a
+// write. One that can't be sent is lost: its link is about to go down.
+func (r *Role) broadcast(links []cleat.Link, messages ...cleat.Message) {
 	for _, l := range links {
-		if err := l.Send(m); err != nil {
-			r.log.Debug("message not sent", "kind", m.Kind(), "entry", l.Peer().Instance, "err", err)
+		for _, m := range messages {
+			if err := l.Send(m); err != nil {
+				r.log.Debug("message not sent", "kind", m.Kind(), "entry", l.Peer().Instance, "err", err)
+			}
 		}
 	}
 }
@@ -147,13 +150,14 @@
 		interval := r.cfg.ReportInterval * time.Duration(max(1, len(links)/peersPerReportInterval))
 		r.planner.SetPeers(len(links), interval)
 		r.mu.Unlock()
-		r.broadcast(links, m)
+		messages := []cleat.Message{m}
 		if streams != nil {
-			r.broadcast(links, streams)
+			messages = append(messages, streams)
 		}
 		if crashes != nil {
-			r.broadcast(links, crashes)
+			messages = append(messages, crashes)
 		}
+		r.broadcast(links, messages...)
 		if !sleep(ctx, interval) {
 			return nil
 		}
--- a/role/proxy/poison.go
+++ b/role/proxy/poison.go
@@ -23,6 +23,9 @@
 // such block.
 func (x *exchange) refuseQuarantined(isPlaced bool) bool {
 	r := x.role
+	if r.quarantined.Load() == 0 {
+		return false // Spares a busy entry the lock.
+	}
 	r.mu.Lock()
 	q := r.poison.Check(r.clock.Now(), x.service, x.info.Prompt.SharedBlocks())
 	r.mu.Unlock()
@@ -101,6 +104,7 @@
 // tickPoison updates the quarantined blocks and logs changes. The caller holds r.mu.
 func (r *Role) tickPoison(now time.Time) {
 	added, ended := r.poison.Tick(now)
+	r.quarantined.Store(int64(r.poison.Quarantined()))
 	for _, q := range added {
 		r.log.Warn("prompt block quarantined", append([]any{"service", q.Service}, quarantineFields(now, q)...)...)
 	}
--- a/role/proxy/resume.go
+++ b/role/proxy/resume.go
@@ -23,7 +23,7 @@
 const (
 	// startReportDelay is how long the starts of streams are collected before a few
 	// entries are told, which bounds the messages of a busy entry.
-	startReportDelay = 5 * time.Millisecond
+	startReportDelay = 20 * time.Millisecond
 	// startReportEntries is how many entries are told: enough for one to survive when
 	// two instances fail at once.
 	startReportEntries = 3
