Keep streams' records out of the garbage collector's way, and tell of starts with reports only

Suspected, not shown: the processor time of the streams' records. There are about 20,000 at an entry there; each was an allocation with pointers, which every garbage collection visits, and all were swept twice a second. They are values without pointers now and are swept every 5 s. Telling three entries of each start at once is taken back: it cost up to 150 writes and as many reads a second.

--- a/policy/resume/report.go
+++ b/policy/resume/report.go
@@ -18,22 +18,6 @@
 		t.appendStream(now, m, k)
 	}
 	clear(t.news)
-	t.started = t.started[:0]
-	return m
-}
-
-// ReportStarted returns the streams that started here since the last report of either
-// kind, or nil when none did. It goes to a few entries, which answer for this one if it
-// fails before its next report to all.
-func (t *Table) ReportStarted(now time.Time) *cleat.StreamReport {
-	if len(t.started) == 0 {
-		return nil
-	}
-	m := &cleat.StreamReport{}
-	for _, k := range t.started {
-		t.appendStream(now, m, k)
-	}
-	t.started = t.started[:0]
 	return m
 }
 
@@ -50,19 +34,19 @@
 
 func (t *Table) appendStream(now time.Time, m *cleat.StreamReport, k uint64) bool {
 	r, ok := t.streams[k]
-	if !ok || now.After(r.until) {
+	left := r.until - now.Sub(t.epoch)
+	if !ok || left < 0 {
 		return false
 	}
-	i := slices.IndexFunc(m.Groups, func(g cleat.StreamGroup) bool {
-		return g.Service == r.origin.Service && g.Version == r.origin.Version
-	})
+	o := t.origins[r.origin]
+	i := slices.IndexFunc(m.Groups, func(g cleat.StreamGroup) bool { return g.Service == o.Service && g.Version == o.Version })
 	if i < 0 {
 		i = len(m.Groups)
-		m.Groups = append(m.Groups, cleat.StreamGroup{Service: r.origin.Service, Version: r.origin.Version})
+		m.Groups = append(m.Groups, cleat.StreamGroup{Service: o.Service, Version: o.Version})
 	}
 	g := &m.Groups[i]
 	g.Streams = append(g.Streams, k)
-	g.Seconds = append(g.Seconds, uint32(min(math.Ceil(r.until.Sub(now).Seconds()), maxReportedSeconds)))
+	g.Seconds = append(g.Seconds, uint32(min(math.Ceil(left.Seconds()), maxReportedSeconds)))
 	return true
 }
 
--- a/policy/resume/table.go
+++ b/policy/resume/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -35,33 +36,48 @@
 // IsKnown reports whether upstreams that can continue the stream can be told from others.
 func (o Origin) IsKnown() bool { return o.Version != "" }
 
-// record is what the table holds of a stream.
+// record is what the table holds of a stream. It has no pointers, so that the garbage
+// collector doesn't visit the many records of a large fleet.
 type record struct {
-	origin   Origin
-	until    time.Time
-	upstream cleat.UpstreamID // Empty when another entry began the stream.
-	sentAt   time.Time        // When the request was sent; set with upstream.
+	origin   uint32        // Index in Table.origins.
+	upstream uint64        // Hash of the upstream that began it here; zero when another entry did.
+	until    time.Duration // Since Table.epoch, like sentAt.
+	sentAt   time.Duration // When the request was sent; set with upstream.
 }
 
 // Table holds the origins of the streams that began at any entry.
 type Table struct {
 	cfg     Config
-	streams map[uint64]*record
-	news    map[uint64]bool // Streams to be reported to all other entries.
-	started []uint64        // Streams to be reported to a few entries before that.
+	epoch   time.Time
+	origins []Origin
+	streams map[uint64]record
+	news    map[uint64]bool // Streams to be reported to other entries.
 	dropped uint64
 }
 
-// New returns an empty table.
-func New(cfg Config) *Table {
+// New returns an empty table; epoch is a time before all others that it will be given.
+func New(cfg Config, epoch time.Time) *Table {
 	cfg.Defaults()
-	return &Table{cfg: cfg, streams: make(map[uint64]*record), news: make(map[uint64]bool)}
+	return &Table{cfg: cfg, epoch: epoch, streams: make(map[uint64]record), news: make(map[uint64]bool)}
+}
+
+// originIndex returns the index of an origin; there are as many as services and
+// versions.
+func (t *Table) originIndex(o Origin) uint32 {
+	i := slices.Index(t.origins, o)
+	if i < 0 {
+		i = len(t.origins)
+		t.origins = append(t.origins, o)
+	}
+	return uint32(i)
 }
 
 // key returns the number under which a stream is kept and reported.
-func key(id cleat.RequestID) uint64 {
+func key(id cleat.RequestID) uint64 { return hash(string(id)) }
+
+func hash(s string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(id)) // A hash's Write never returns an error.
+	_, _ = h.Write([]byte(s)) // A hash's Write never returns an error.
 	return h.Sum64()
 }
 
@@ -76,50 +92,51 @@
 // upstream was sent, and the caller's deadline.
 func (t *Table) RecordStart(id cleat.RequestID, o Origin, u cleat.UpstreamID, sentAt, deadline time.Time) {
 	k := key(id)
-	r := t.add(k, o, deadline.Add(t.cfg.Slack))
-	if r != nil {
-		r.upstream, r.sentAt = u, sentAt
-		t.news[k] = true
-		t.started = append(t.started, k)
+	if !t.add(k, o, deadline.Add(t.cfg.Slack)) {
+		return
 	}
+	r := t.streams[k]
+	r.upstream, r.sentAt = hash(string(u)), sentAt.Sub(t.epoch)
+	t.streams[k] = r
+	t.news[k] = true
 }
 
 // add merges what is known of a stream. Two different origins of one stream leave it
-// unknown.
-func (t *Table) add(k uint64, o Origin, until time.Time) *record {
+// unknown. It returns false if the table is full.
+func (t *Table) add(k uint64, o Origin, until time.Time) bool {
 	r, ok := t.streams[k]
 	switch {
 	case !ok && len(t.streams) >= t.cfg.MaxStreams:
 		t.dropped++
-		return nil
+		return false
 	case !ok:
-		r = &record{origin: o}
-		t.streams[k] = r
-	case r.origin != o:
-		r.origin.Version = ""
-	}
-	if until.After(r.until) {
-		r.until = until
+		r.origin = t.originIndex(o)
+	case t.origins[r.origin] != o:
+		r.origin = t.originIndex(Origin{Service: t.origins[r.origin].Service})
 	}
-	return r
+	r.until = max(r.until, until.Sub(t.epoch))
+	t.streams[k] = r
+	return true
 }
 
 // Find returns where a stream began, or false when this entry doesn't know the stream.
 func (t *Table) Find(now time.Time, id cleat.RequestID) (Origin, bool) {
 	r, ok := t.streams[key(id)]
-	if !ok || now.After(r.until) {
+	if !ok || now.Sub(t.epoch) > r.until {
 		return Origin{}, false
 	}
-	return r.origin, true
+	return t.origins[r.origin], true
 }
 
 // RecordRestart handles the news that an upstream restarted under its id with
 // another version. A request sent after the restart and before the news may have been
 // answered by either version, so the streams that began so are no longer known.
 func (t *Table) RecordRestart(u cleat.UpstreamID, restartedAt time.Time) {
+	upstream := hash(string(u))
 	for k, r := range t.streams {
-		if r.upstream == u && r.sentAt.After(restartedAt) && r.origin.IsKnown() {
-			r.origin.Version = ""
+		if o := t.origins[r.origin]; r.upstream == upstream && r.sentAt > restartedAt.Sub(t.epoch) && o.IsKnown() {
+			r.origin = t.originIndex(Origin{Service: o.Service})
+			t.streams[k] = r
 			t.news[k] = true
 		}
 	}
@@ -128,7 +145,7 @@
 // Tick removes the streams whose callers' deadlines have passed.
 func (t *Table) Tick(now time.Time) {
 	for k, r := range t.streams {
-		if now.After(r.until) {
+		if now.Sub(t.epoch) > r.until {
 			delete(t.streams, k)
 			delete(t.news, k)
 		}
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -12,6 +12,7 @@
 
 const (
 	sweepInterval        = 500 * time.Millisecond // Between checks for idle connections and unresponsive peers.
+	streamSweepInterval  = 5 * time.Second        // Between removals of streams that callers no longer resume: it visits all.
 	settingsPollInterval = time.Second            // Between reloads of settings that may change while running.
 	// decodePauseFactor is the pause after decoding a manifest, as a multiple of the
 	// time the decoding took, up to settingsPollInterval. It bounds the share of time
@@ -140,11 +141,15 @@
 // sweepLoop updates the gauges, closes expired idle connections and drops the reports
 // of unresponsive entries.
 func (r *Role) sweepLoop(ctx context.Context) error {
+	sweptStreams := r.clock.Now()
 	for sleep(ctx, sweepInterval) {
 		now := r.clock.Now()
 		r.mu.Lock()
 		r.planner.ExpirePeers(now)
-		r.streams.Tick(now)
+		if now.Sub(sweptStreams) >= streamSweepInterval {
+			sweptStreams = now
+			r.streams.Tick(now)
+		}
 		r.requestMetrics.updateGauges(r)
 		pools := make([]*pool, 0, len(r.pools))
 		for _, p := range r.pools {
--- a/role/proxy/resume.go
+++ b/role/proxy/resume.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"marigoldcleat.example/cleat"
@@ -20,15 +19,6 @@
 	unknownStreamRetryAfter = 200 * time.Millisecond
 )
 
-const (
-	// startReportDelay is how long the starts of streams are collected before a few
-	// entries are told, which bounds the messages of a busy entry.
-	startReportDelay = 20 * time.Millisecond
-	// startReportEntries is how many entries are told: enough for one to survive when
-	// two instances fail at once.
-	startReportEntries = 3
-)
-
 // streamQuery is a question to other entries about one stream.
 type streamQuery struct {
 	asked    int           // Entries that have not answered; zero until the question is sent.
@@ -181,29 +171,9 @@
 		o.Version = ""
 	}
 	r.streams.RecordStart(x.streamID(), o, u.Upstream, x.sentAt, x.deadline)
-	if !r.startReportDue {
-		r.startReportDue = true
-		time.AfterFunc(startReportDelay, r.reportStarts)
-	}
 	return true
 }
 
-// reportStarts tells a few entries of the streams that have just started here: those
-// that follow this one by name, so that each is told by as many.
-func (r *Role) reportStarts() {
-	r.mu.Lock()
-	r.startReportDue = false
-	m := r.streams.ReportStarted(r.clock.Now())
-	links := r.linkedEntries()
-	r.mu.Unlock()
-	if m == nil {
-		return
-	}
-	next := slices.IndexFunc(links, func(l cleat.Link) bool { return l.Peer().Instance > r.cfg.Self })
-	links = append(links[max(0, next):], links[:max(0, next)]...)
-	r.broadcast(links[:min(len(links), startReportEntries)], m)
-}
-
 // pinVersion restricts the further attempts of a stream whose first event was relayed
 // to the version that began it. It returns false if that is not known.
 func (x *exchange) pinVersion() bool {
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -75,7 +75,6 @@
 	budget          *budget.Budget
 	streams         *resume.Table
 	queries         map[cleat.RequestID]*streamQuery // By the stream asked for.
-	startReportDue  bool                             // reportStarts is about to run.
 	poison          *poison.Table
 	endChecks       map[endCheckKey]*endCheck
 	queryScheduled  bool                          // sendQueries is about to run.
@@ -120,7 +119,7 @@
 		planner:        place.New(cfg.Place),
 		roster:         roster.New(),
 		budget:         budget.New(cfg.Retries),
-		streams:        resume.New(cfg.Resume),
+		streams:        resume.New(cfg.Resume, now),
 		queries:        make(map[cleat.RequestID]*streamQuery),
 		poison:         poison.New(cfg.Poison),
 		endChecks:      make(map[endCheckKey]*endCheck),
