--- a/dialect.go
+++ b/dialect.go
@@ -46,6 +46,9 @@
 	NotRun       bool // The upstream did not run the request.
 	Encoded      bool // The body has a content coding, which no caller requested.
 
+	RateLimit    float64 // Requests a second that the upstream takes from all entries together; zero when it names no limit.
+	BadRateLimit string  // A limit that can't be read, possibly shortened; empty when there is none.
+
 	HasLoad bool // The fields below are set.
 	Running int
 	Waiting int
