Keep to the rate limits that upstreams name

Cause: no entry reacted to the field.

policy/permit: one entry for each limited upstream, chosen by all by the same hash over those in touch, keeps a token bucket and grants permits in proportion to the demand that entries report; limits, demand and permits travel in placement reports. The planner passes every way to an upstream through one gate: new requests, repeats, resumptions and requests that waited. What no upstream can take in time is refused at once, with a Retry-After from when permits come.

--- a/placement.go
+++ b/placement.go
@@ -1,5 +1,7 @@
 package cleat
 
+import "time"
+
 // UpstreamLoad is the load that one entry has placed on an upstream.
 type UpstreamLoad struct {
 	Upstream       UpstreamID `msgpack:"u,intern"`
@@ -34,4 +36,24 @@
 	Loads        []UpstreamLoad   `msgpack:"l"`
 	CachedBlocks []CachedBlock    `msgpack:"p,omitempty"`
 	Usage        []WorkspaceUsage `msgpack:"u,omitempty"`
+	Limits       []UpstreamLimit  `msgpack:"m,omitempty"` // Its strings are not interned: entries of an earlier version skip it.
+}
+
+// UpstreamLimit tells another entry about the rate limit that an upstream names.
+type UpstreamLimit struct {
+	Upstream        UpstreamID    `msgpack:"u"`
+	StartedAtMillis int64         `msgpack:"b"`           // As in UpstreamRecord.
+	Rate            float64       `msgpack:"r"`           // Requests/s from all entries together; zero when the newest answer names no limit.
+	Age             time.Duration `msgpack:"a"`           // Since the newest answer that the sender knows of.
+	Heard           bool          `msgpack:"x,omitempty"` // The sender knows it from another entry only.
+	Wanted          uint32        `msgpack:"w,omitempty"` // Requests of the last second that the sender could have sent with more permits.
+	Held            uint32        `msgpack:"h,omitempty"` // Permits that the sender may use.
+	Expired         uint32        `msgpack:"n,omitempty"` // Permits that expired at the sender since its last report.
+	Grants          []PermitGrant `msgpack:"g,omitempty"`
+}
+
+// PermitGrant permits an entry to send requests to a limited upstream.
+type PermitGrant struct {
+	Entry InstanceID `msgpack:"e"`
+	Count uint32     `msgpack:"n"`
 }
--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -17,15 +17,21 @@
 	late := p.isLate(now, j)
 	var best *upstream
 	var bestCost time.Duration
+	var limited []candidate // Upstreams that could take the job with a permit.
 	for _, u := range p.services[j.Service] {
 		if !isUsable(u, j) || now.Before(u.avoidUntil) {
 			continue
 		}
 		cost, ok := p.cost(now, j, u, late)
+		if ok && !p.limits.Allows(now, u.record.Upstream) {
+			limited = append(limited, candidate{u, cost})
+			continue
+		}
 		if ok && (best == nil || cost < bestCost || (cost == bestCost && u.lastSentAt.Before(best.lastSentAt))) {
 			best, bestCost = u, cost
 		}
 	}
+	p.wantPermits(now, j, limited, best, bestCost)
 	if best == nil {
 		return p.fallbackUpstream(now, j)
 	}
@@ -38,7 +44,7 @@
 func (p *Planner) fallbackUpstream(now time.Time, j *Job) *upstream {
 	var best *upstream
 	for _, u := range p.services[j.Service] {
-		if !isUsable(u, j) {
+		if !isUsable(u, j) || !p.limits.Allows(now, u.record.Upstream) {
 			continue
 		}
 		if !now.Before(u.avoidUntil) {
@@ -79,7 +85,7 @@
 	if !ok {
 		return 0, false
 	}
-	cost := wait + penalty + interference + cacheMissCost(j, u, cached)
+	cost := wait + penalty + interference + cacheMissCost(j, u, cached) + p.permitCost(u, prefill)
 	if late {
 		return cost, u.expectedWait(0) <= p.cfg.LateBacklog
 	}
@@ -201,23 +207,31 @@
 	maxJitter        = 50 * time.Millisecond  // Equals the cost of three requests at an upstream of six slots.
 )
 
-// promptTokensAhead returns the prompt tokens of the waiting jobs that would go
-// before a new job.
-func (p *Planner) promptTokensAhead(now time.Time, j *Job) int {
+// queue is the sum of waiting jobs.
+type queue struct {
+	jobs, promptTokens int
+}
+
+func (q queue) with(j *Job) queue { return queue{q.jobs + 1, q.promptTokens + max(1, j.PromptTokens)} }
+
+// queueAhead returns the waiting jobs that would go before a new job.
+func (p *Planner) queueAhead(now time.Time, j *Job) queue {
 	own := p.usage.admitted(now, j.Workspace)
-	n := 0
+	var q queue
 	for _, w := range p.waiting {
 		if w.Service == j.Service && p.usage.admitted(now, w.Workspace) <= own {
-			n += max(1, w.PromptTokens)
+			q = q.with(w)
 		}
 	}
-	return n
+	return q
 }
 
-// checkOverload refuses a job that can't be served in time; ahead is the number of
-// prompt tokens of the jobs waiting before it.
-func (p *Planner) checkOverload(now time.Time, j *Job, l serviceLoad, ahead int) (Verdict, bool) {
-	wait := l.prefillDelay(ahead)
+// checkOverload refuses a job that can't be served in time behind the jobs ahead of it.
+func (p *Planner) checkOverload(now time.Time, j *Job, l serviceLoad, ahead queue) (Verdict, bool) {
+	reason, wait := ReasonOverload, l.prefillDelay(ahead.promptTokens)
+	if permitDelay := l.permitDelay(ahead.jobs); permitDelay > wait {
+		reason, wait = ReasonRateLimit, permitDelay
+	}
 	idle := p.idleWait(now, j)
 	limit := j.Target
 	if now.Add(idle + p.cfg.Margin).After(j.Target) {
@@ -225,7 +239,7 @@
 	}
 	if now.Add(wait + idle).After(limit) {
 		retry := min(max(wait, p.cfg.MaxRetryAfter/8), p.cfg.MaxRetryAfter)
-		return Verdict{Job: j, Reason: ReasonOverload, RetryAfter: retry}, true
+		return Verdict{Job: j, Reason: reason, RetryAfter: retry}, true
 	}
 	return Verdict{}, false
 }
@@ -242,21 +256,43 @@
 	backlog       int           // Prompt tokens that the upstreams have yet to prefill.
 	share         float64       // Fraction of the prefill rate that this entry may count on.
 	fallbackDelay time.Duration // Delay assumed when no upstream can be used.
+	permitRate    float64       // Requests/s that this entry may send; zero unless all upstreams that can be used have a rate limit.
 }
 
 func (p *Planner) serviceLoadOf(now time.Time, s cleat.ServiceName) serviceLoad {
 	// Callers may be spread unevenly over the entries.
 	share := max(1/float64(1+p.livePeers(now)), p.usage.admittedPart(now))
 	l := serviceLoad{share: share, fallbackDelay: p.cfg.MaxRetryAfter, plain: p.engines[s] == nil}
+	unlimited := false
 	for _, u := range p.services[s] {
-		if u.record.Phase == cleat.UpstreamReady && !now.Before(u.avoidUntil) {
-			l.prefillRate += u.prefillRate
-			l.backlog += u.backlog()
+		if u.record.Phase != cleat.UpstreamReady || now.Before(u.avoidUntil) {
+			continue
+		}
+		rate := u.prefillRate
+		if limit := p.limits.Rate(u.record.Upstream); limit > 0 {
+			rate = min(rate, limit*p.promptTokens[s]/1000)
+			l.permitRate += p.limits.OwnRate(now, u.record.Upstream)
+		} else {
+			unlimited = true
 		}
+		l.prefillRate += rate
+		l.backlog += u.backlog()
+	}
+	if unlimited {
+		l.permitRate = 0
 	}
 	return l
 }
 
+// permitDelay returns the expected time until a job gets a permit after the given
+// number of waiting ones.
+func (l serviceLoad) permitDelay(ahead int) time.Duration {
+	if l.permitRate == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / l.permitRate * float64(time.Second))
+}
+
 // prefillDelay returns the expected time until the upstreams have prefilled their
 // backlog and then the given number of waiting prompt tokens of this entry.
 func (l serviceLoad) prefillDelay(ahead int) time.Duration {
--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -28,6 +28,7 @@
 	prefill       int // Prompt tokens that the upstream has to prefill.
 	memory        int // Tokens that the job takes of the engine's memory.
 	hasFirstEvent bool
+	wantedAt      time.Time     // When it last counted as demand for permits.
 	idleWait      time.Duration // See Planner.idleWait.
 	idleWaitAt    time.Time
 	late          bool      // Result of Planner.isLate in the last dispatch round.
@@ -59,6 +60,7 @@
 	ReasonNoVersion  Reason = "no_version"  // No usable upstream has the software version that began the stream.
 	ReasonOverload   Reason = "overload"    // The job can't be served in time.
 	ReasonOverShare  Reason = "over_share"  // The workspace has recently used its share of the capacity.
+	ReasonRateLimit  Reason = "rate_limit"  // All upstreams have a rate limit, and the job can't be served in time within them.
 	ReasonLateRetry  Reason = "late_return" // A retry that would be late, while other requests of its workspace need the share.
 )
 
@@ -100,3 +102,14 @@
 		j.charged = nil
 	}
 }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -58,6 +58,9 @@
 	}
 	u.removeJob(j)
 	delete(p.jobs, j.ID)
+	if o == OutcomeNotSent {
+		p.limits.Return(u.record.Upstream)
+	}
 	switch o {
 	case OutcomeServed:
 		u.recordOutcome(now, false)
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/permit"
 )
 
 // Defaults of Config.
@@ -20,12 +21,13 @@
 
 // Config holds the settings of a planner.
 type Config struct {
-	Domain        cleat.DomainID // Of the entry.
-	UsageWindow   time.Duration  // Window over which workspaces' use of capacity is accounted.
-	Margin        time.Duration  // Kept between the expected first event and the objective.
-	RemotePenalty time.Duration  // Added to the wait at an upstream in another failure domain.
-	LateBacklog   time.Duration  // Backlog of an upstream up to which a late request is sent there.
-	MaxRetryAfter time.Duration  // Longest Retry-After that a refused caller gets.
+	Self          cleat.InstanceID // The entry.
+	Domain        cleat.DomainID   // Of the entry.
+	UsageWindow   time.Duration    // Window over which workspaces' use of capacity is accounted.
+	Margin        time.Duration    // Kept between the expected first event and the objective.
+	RemotePenalty time.Duration    // Added to the wait at an upstream in another failure domain.
+	LateBacklog   time.Duration    // Backlog of an upstream up to which a late request is sent there.
+	MaxRetryAfter time.Duration    // Longest Retry-After that a refused caller gets.
 }
 
 // Defaults sets the fields that are zero.
@@ -59,6 +61,8 @@
 	peers          map[cleat.InstanceID]*peer
 	newBlocks      []cleat.CachedBlock // Assumed cached since the last report.
 	seq            uint64              // Of the last report.
+	limits         *permit.Table
+	promptTokens   map[cleat.ServiceName]float64 // Moving average of the prompts' tokens.
 }
 
 // New returns a planner that knows no upstream.
@@ -74,6 +78,8 @@
 		refusals:       newRefusalHistory(),
 		bestStreamRate: make(map[cleat.ServiceName]float64),
 		peers:          make(map[cleat.InstanceID]*peer),
+		limits:         permit.New(cfg.Self),
+		promptTokens:   make(map[cleat.ServiceName]float64),
 	}
 }
 
@@ -107,6 +113,7 @@
 		p.services[r.Service] = append(p.services[r.Service], u)
 	}
 	p.upstreams = known
+	p.limits.SetUpstreams(list)
 	for _, list := range p.services {
 		slices.SortFunc(list, func(a, b *upstream) int {
 			return strings.Compare(string(a.record.Upstream), string(b.record.Upstream))
@@ -142,6 +149,7 @@
 func (p *Planner) Submit(now time.Time, j *Job) (Verdict, bool) {
 	if len(j.Tried) == 0 {
 		p.countRequest(now, j)
+		p.countPrompt(j)
 		p.refusals.restoreArrival(j)
 	}
 	v, decided := p.decide(now, j)
@@ -165,7 +173,7 @@
 			return p.assign(now, j, u), true
 		}
 	}
-	if v, refused := p.checkOverload(now, j, p.serviceLoadOf(now, j.Service), p.promptTokensAhead(now, j)); refused {
+	if v, refused := p.checkOverload(now, j, p.serviceLoadOf(now, j.Service), p.queueAhead(now, j)); refused {
 		return v, true
 	}
 	p.waiting = append(p.waiting, j)
@@ -268,7 +276,7 @@
 	}
 	var verdicts []Verdict
 	var stillWaiting []*Job
-	ahead := make(map[cleat.ServiceName]int)
+	ahead := make(map[cleat.ServiceName]queue)
 	failedTries := make(map[cleat.ServiceName]int)
 	loads := make(map[cleat.ServiceName]serviceLoad)
 	for _, j := range p.dispatchOrder(now) {
@@ -295,7 +303,7 @@
 			verdicts = append(verdicts, v)
 			continue
 		}
-		ahead[j.Service] += max(1, j.PromptTokens)
+		ahead[j.Service] = ahead[j.Service].with(j)
 		stillWaiting = append(stillWaiting, j)
 	}
 	p.waiting = stillWaiting
@@ -329,17 +337,6 @@
 	return list
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // isLate reports whether a job could not be on time even at an idle upstream.
 func (p *Planner) isLate(now time.Time, j *Job) bool {
 	return now.Add(p.idleWait(now, j) + p.cfg.Margin).After(j.Target)
@@ -375,6 +372,7 @@
 			p.newBlocks = append(p.newBlocks, cleat.CachedBlock{Upstream: u.record.Upstream, Digest: block.Digest, Tokens: uint32(block.Tokens)})
 		}
 	}
+	p.limits.Use(now, u.record.Upstream)
 	u.addJob(now, j)
 	p.jobs[j.ID] = j
 	p.usage.addAdmitted(now, j.Workspace, j.costUnits())
@@ -384,6 +382,7 @@
 // ExpirePeers drops the reports of other entries that have timed out.
 func (p *Planner) ExpirePeers(now time.Time) {
 	p.expirePeers(now)
+	p.limits.Expire(now)
 }
 
 // CancelWaiting removes a waiting job whose caller left.
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -10,7 +10,7 @@
 // entries.
 func (p *Planner) Report(now time.Time) *cleat.PlacementReport {
 	p.seq++
-	m := &cleat.PlacementReport{Seq: p.seq, CachedBlocks: p.newBlocks, Usage: p.usage.report(now)}
+	m := &cleat.PlacementReport{Seq: p.seq, CachedBlocks: p.newBlocks, Usage: p.usage.report(now), Limits: p.limits.Report(now)}
 	p.newBlocks = nil
 	for id, u := range p.upstreams {
 		recent := u.recentPrefill.sum(now)
@@ -50,6 +50,7 @@
 			u.cache.touch(c.Digest, int(c.Tokens))
 		}
 	}
+	p.limits.Apply(now, from, p.knownLimits(m.Limits))
 	p.expirePeers(now)
 }
 
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -53,20 +53,10 @@
 		conn.close()
 		return x.handleConnLost(u, err), nil
 	}
-	x.logRateLimit(u, info)
+	x.recordRateLimit(u, info)
 	return x.handleAnswer(u, p, conn, resp, info)
 }
 
-// logRateLimit logs what an answer states about the upstream's rate limit.
-func (x *exchange) logRateLimit(u cleat.UpstreamRecord, info cleat.AnswerInfo) {
-	switch {
-	case info.BadRateLimit != "":
-		x.logDecision("bad_rate_limit", "upstream", u.Upstream, "value", info.BadRateLimit)
-	case info.RateLimit > 0:
-		x.logDecision("rate_limit", "upstream", u.Upstream, "rate", info.RateLimit, "attempts", x.attempts, "resumes", x.info.Resumes)
-	}
-}
-
 // encodeHead returns the request line and header fields for an upstream.
 func (x *exchange) encodeHead(u cleat.UpstreamRecord) []byte {
 	h := x.r.Header.Clone()
--- a/role/proxy/config.go
+++ b/role/proxy/config.go
@@ -65,7 +65,7 @@
 // Defaults sets the fields that are zero.
 func (c *Config) Defaults() {
 	c.Wire.Defaults()
-	c.Place.Domain = c.Domain
+	c.Place.Domain, c.Place.Self = c.Domain, c.Self
 	c.Place.Defaults()
 	cleat.SetDefault(&c.Retries.Ratio, 0.1)
 	cleat.SetDefault(&c.Retries.Slack, 10)
--- a/role/proxy/load.go
+++ b/role/proxy/load.go
@@ -21,10 +21,14 @@
 		r.mu.Lock()
 		list := r.planner.OversubscribedUsage(now)
 		waiting, running := r.planner.Waiting(), r.planner.Running()
+		permits := r.planner.PermitCounts(now)
 		r.mu.Unlock()
 		for i := range list {
 			r.decisions.Log(now, "usage", append([]any{"workspace", list[i].Workspace}, shareFields(&list[i])...)...)
 		}
+		if c := permits; c.Limited > 0 {
+			r.decisions.Log(now, "permits", "upstreams", c.Limited, "rate", c.Rate, "received", c.Received, "used", c.Used, "expired", c.Expired, "wanted", c.Wanted)
+		}
 		lag, failed := r.lag.value(now), r.server.AcceptFailures()
 		if lag > lagBusy || waiting > 0 || failed > failures {
 			r.decisions.Log(now, "load", "lag", lag.Round(time.Millisecond), "connections", r.server.Conns(), "accepted", r.server.Accepted(),
--- a/role/proxy/mesh.go
+++ b/role/proxy/mesh.go
@@ -54,6 +54,10 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.planner.ApplyReport(r.clock.Now(), l.Peer().Instance, m)
+		if len(m.Limits) > 0 {
+			r.logRateLimits()
+			r.wakeIfWaiting()
+		}
 	case *cleat.StreamReport:
 		r.applyStreams(m)
 	case *cleat.StreamQuery:
@@ -119,6 +123,7 @@
 	}
 	r.dropAbsent(present)
 	r.budget.SetEntries(1 + len(r.entries))
+	r.planner.SetMembers(len(r.entries))
 }
 
 // dropAbsent removes entries that are no longer members and have no link.
@@ -149,6 +154,9 @@
 		links := r.linkedEntries()
 		interval := r.cfg.ReportInterval * time.Duration(max(1, len(links)/peersPerReportInterval))
 		r.planner.SetPeers(len(links), interval)
+		if len(m.Limits) > 0 {
+			r.wakeIfWaiting() // The report may have granted permits to this entry.
+		}
 		r.mu.Unlock()
 		messages := []cleat.Message{m}
 		if streams != nil {
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -65,6 +65,7 @@
 	lag            lagMeter      // Recent scheduling delay; see lagLoop.
 	shed           atomic.Int64  // Requests refused for lack of processor time.
 	quarantined    atomic.Int64  // Prompt blocks in quarantine.
+	limited        atomic.Int64  // Upstreams with a rate limit.
 	dispatchPause  atomic.Int64  // Last pause between passes over the waiting jobs, in nanoseconds.
 	manifestReady  chan struct{} // Signals a pending manifest.
 	wake           chan struct{} // Wakes dispatchLoop.
