Log a digest of requests under which an upstream broke off

Lines named a request by the id of the attempt, which is new each time, so nothing showed that a request which had ended an upstream came again. connection_lost and stream_broken now carry a digest of method, host, path and query, caller and body, computed only then. Nothing acts on it yet.

--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -87,7 +87,7 @@
 		return resultDone
 	}
 	x.role.recordEnd(x.job, place.OutcomeUnreachable)
-	x.logDecision("connection_lost", "upstream", u.Upstream, "address", u.Address, "err", err, "blocks", x.blockNames())
+	x.logDecision("connection_lost", "upstream", u.Upstream, "address", u.Address, "err", err, "blocks", x.blockNames(), "digest", x.digestName())
 	x.recordBroken(u)
 	return resultFailed
 }
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -45,6 +45,7 @@
 	mayHaveRun    bool      // An upstream may have run the request.
 	answerStarted bool      // The current attempt's answer has started.
 	attemptEvents int       // Events relayed in the current attempt.
+	digest        uint64    // See requestDigest; zero until it is needed.
 	begun         bool      // The current attempt's answer has gone so far that its prompt crashes no upstream.
 	events        eventState
 }
--- a/role/proxy/stream.go
+++ b/role/proxy/stream.go
@@ -124,7 +124,7 @@
 	}
 	x.mayHaveRun = true
 	x.role.recordEnd(x.job, place.OutcomeFailed)
-	x.logDecision("stream_broken", "upstream", u.Upstream, "err", err, "after_event", x.events.lastID, "attempts", x.attempts, "blocks", x.blockNames())
+	x.logDecision("stream_broken", "upstream", u.Upstream, "err", err, "after_event", x.events.lastID, "attempts", x.attempts, "blocks", x.blockNames(), "digest", x.digestName())
 	x.recordBroken(u)
 	if x.events.started {
 		return resultBroken
