Quarantine requests that end one upstream after the other

Cause: a request was known only by the id of its attempt, which is new each time, and the evidence on crashes covered shared blocks of prompts alone: recordBroken returned at once for a request without them. So the entry's own repeats carried it to further servers, and nothing recognised it when it came again, here or elsewhere. Servers that end by themselves are ruled out as the cause in the specs: without these requests none of theirs ends.

A request is now known by a digest of method, host, path and query, caller, prompt and body. policy/poison keeps the crashes under equal requests, tells other entries of them, and quarantines after the third of them unless an equal request was answered since, the upstreams ended together, or another request was there each time. It is repeated once after a crash, not after a second one in a row. A quarantine ends with an answer to an equal request, or ten minutes after the last crash.

--- a/crash.go
+++ b/crash.go
@@ -32,9 +32,33 @@
 	SeenAge   time.Duration `msgpack:"t"` // Since a request with the block last came.
 }
 
-// CrashReport tells another entry which prompt blocks may crash upstreams.
+// RequestCrash is a request that an upstream had not answered when it ended, known by
+// a digest that equal requests share.
+type RequestCrash struct {
+	Digest          uint64        `msgpack:"d"`
+	Upstream        UpstreamID    `msgpack:"u"`
+	StartedAtMillis int64         `msgpack:"b"` // As in UpstreamRecord.
+	Age             time.Duration `msgpack:"a"` // Since the upstream ended.
+	RanFor          time.Duration `msgpack:"n"` // From the sending of the request to that end.
+}
+
+// ServedRequest is a request that was suspected of crashing upstreams and was answered.
+type ServedRequest struct {
+	Digest uint64        `msgpack:"d"`
+	Age    time.Duration `msgpack:"a"` // Since the answer.
+}
+
+// CrashReport tells another entry which prompt blocks and requests may crash upstreams.
 type CrashReport struct {
 	Failures    []CrashFailure     `msgpack:"f"`
 	Served      []ServedBlock      `msgpack:"s"`
 	Quarantined []QuarantinedBlock `msgpack:"q"`
+
+	Requests       []RequestCrash  `msgpack:"c,omitempty"`
+	ServedRequests []ServedRequest `msgpack:"d,omitempty"`
+}
+
+// IsEmpty reports whether the report tells nothing.
+func (m *CrashReport) IsEmpty() bool {
+	return len(m.Failures) == 0 && len(m.Served) == 0 && len(m.Quarantined) == 0 && len(m.Requests) == 0 && len(m.ServedRequests) == 0
 }
--- a/role/proxy/config.go
+++ b/role/proxy/config.go
@@ -42,6 +42,7 @@
 	Retries  budget.Config
 	Resume   resume.Config
 	Poison   poison.Config
+	Requests poison.RequestConfig
 	Dialect  cleat.Dialect
 	Decoder  cleat.RouteTableDecoder
 
--- a/role/proxy/mesh.go
+++ b/role/proxy/mesh.go
@@ -30,7 +30,12 @@
 	}
 	e.link = l
 	r.log.Info("link to an entry up", "entry", l.Peer().Instance)
-	if m := r.poison.Complete(r.clock.Now()); m != nil {
+	now := r.clock.Now()
+	m := r.poison.Complete(now)
+	if m == nil {
+		m = &cleat.CrashReport{}
+	}
+	if r.requests.Complete(now, m); !m.IsEmpty() {
 		r.broadcast([]cleat.Link{l}, m)
 	}
 }
@@ -65,8 +70,11 @@
 	case *cleat.CrashReport:
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.poison.Apply(r.clock.Now(), m)
+		now := r.clock.Now()
+		r.poison.Apply(now, m)
+		r.requests.Apply(now, m)
 		r.quarantined.Store(int64(r.poison.Quarantined()))
+		r.suspects.Store(int64(r.requests.Suspects()))
 	default:
 		r.log.Debug("unexpected message", "kind", m.Kind(), "from", l.Peer().Instance)
 	}
@@ -157,12 +165,16 @@
 		if len(m.Limits) > 0 {
 			r.wakeIfWaiting() // The report may have granted permits to this entry.
 		}
+		if crashes == nil {
+			crashes = &cleat.CrashReport{}
+		}
+		r.requests.Report(now, crashes)
 		r.mu.Unlock()
 		messages := []cleat.Message{m}
 		if streams != nil {
 			messages = append(messages, streams)
 		}
-		if crashes != nil {
+		if !crashes.IsEmpty() {
 			messages = append(messages, crashes)
 		}
 		r.broadcast(links, messages...)
--- a/role/proxy/metrics.go
+++ b/role/proxy/metrics.go
@@ -24,6 +24,7 @@
 	failed  tally.Gauge
 	blocks  tally.Gauge
 	limited tally.Gauge
+	poison  tally.Gauge
 	series  sync.Map // answerSeries by answerKey; bounded by the services of manifests.
 }
 
@@ -31,7 +32,7 @@
 	return &requestMetrics{
 		scope: scope, waiting: scope.Gauge("waiting"), running: scope.Gauge("running"), held: scope.Gauge("held_bytes"),
 		conns: scope.Gauge("caller_connections"), lag: scope.Gauge("lag_seconds"), shed: scope.Gauge("shed_requests"), failed: scope.Gauge("failed_accepts"),
-		blocks: scope.Gauge("quarantined_blocks"), limited: scope.Gauge("rate_limited_upstreams"),
+		blocks: scope.Gauge("quarantined_blocks"), limited: scope.Gauge("rate_limited_upstreams"), poison: scope.Gauge("quarantined_requests"),
 	}
 }
 
@@ -44,6 +45,7 @@
 	m.lag.Update(r.lag.value(r.clock.Now()).Seconds())
 	m.shed.Update(float64(r.shed.Load()))
 	m.blocks.Update(float64(r.poison.Quarantined()))
+	m.poison.Update(float64(r.requests.Quarantined()))
 	m.limited.Update(float64(r.planner.RateLimited()))
 	m.failed.Update(float64(r.server.AcceptFailures()))
 }
--- a/role/proxy/poison.go
+++ b/role/proxy/poison.go
@@ -13,29 +13,39 @@
 	// begunEvents is how many events show that an upstream answers a request without
 	// ending; a shorter answer shows it when it is complete.
 	begunEvents = 4
-	// quarantineRetryAfter is the Retry-After of requests with a quarantined block:
-	// quarantine ends minutes after the last of them.
+	// quarantineRetryAfter is the Retry-After of requests that are quarantined, or that
+	// have a quarantined block: that ends after minutes.
 	quarantineRetryAfter = 30 * time.Second
 )
 
-// refuseQuarantined refuses a request whose prompt has a block that crashes upstreams.
-// isPlaced is set when the job was placed meanwhile. It returns false if there is no
-// such block.
+// refuseQuarantined refuses a request that crashes upstreams, or whose prompt has a
+// block that does. isPlaced is set when the job was placed meanwhile. It returns false
+// if the request may be sent.
 func (x *exchange) refuseQuarantined(isPlaced bool) bool {
 	r := x.role
-	if r.quarantined.Load() == 0 {
-		return false // Spares a busy entry the lock.
+	hasSuspects := r.suspects.Load() > 0
+	if r.quarantined.Load() == 0 && !hasSuspects {
+		return false // Spares a busy entry the lock and the digest.
+	}
+	var digest uint64
+	if hasSuspects {
+		digest = x.requestDigest()
 	}
 	r.mu.Lock()
 	q := r.poison.Check(r.clock.Now(), x.service, x.info.Prompt.SharedBlocks())
+	isRequest := hasSuspects && r.requests.Check(digest)
 	r.mu.Unlock()
-	if q == nil {
+	if q == nil && !isRequest {
 		return false
 	}
 	if isPlaced {
 		r.recordEnd(x.job, place.OutcomeNotSent)
 	}
-	x.logDecision("quarantined", quarantineFields(r.clock.Now(), q)...)
+	if isRequest {
+		x.logDecision("quarantined", "digest", x.digestName())
+	} else {
+		x.logDecision("quarantined", quarantineFields(r.clock.Now(), q)...)
+	}
 	x.refuseOrAbort("quarantined", quarantineRetryAfter)
 	return true
 }
@@ -50,31 +60,47 @@
 
 // recordBegun records that an attempt's answer began without ending its upstream.
 func (x *exchange) recordBegun() {
-	if blocks := x.info.Prompt.SharedBlocks(); !x.begun && len(blocks) > 0 {
-		x.begun = true
-		x.role.mu.Lock()
-		defer x.role.mu.Unlock()
-		x.role.poison.RecordServed(x.role.clock.Now(), x.service, blocks)
+	blocks, hasSuspects := x.info.Prompt.SharedBlocks(), x.role.suspects.Load() > 0
+	if x.begun || (len(blocks) == 0 && !hasSuspects) {
+		return
+	}
+	x.begun = true
+	var digest uint64
+	if hasSuspects {
+		digest = x.requestDigest()
+	}
+	x.role.mu.Lock()
+	defer x.role.mu.Unlock()
+	now := x.role.clock.Now()
+	if len(blocks) > 0 {
+		x.role.poison.RecordServed(now, x.service, blocks)
+	}
+	if hasSuspects {
+		x.role.requests.RecordServed(now, digest)
 	}
 }
 
 // recordBroken handles an attempt that broke off. If its answer had not begun and the
-// upstream has ended, the prompt's blocks may be the cause. It waits for that check
-// unless all of them are known to be sound.
+// upstream has ended, the request or its prompt's blocks may be the cause. It waits for
+// that check unless nothing speaks against them: a repeat must not come first.
 func (x *exchange) recordBroken(u cleat.UpstreamRecord) {
-	blocks := x.info.Prompt.SharedBlocks()
-	if x.begun || len(blocks) == 0 || x.ctx.Err() != nil {
+	if x.begun || x.ctx.Err() != nil {
 		return
 	}
 	r := x.role
+	id, blocks := x.info.ID, x.info.Prompt.SharedBlocks()
+	b := poison.Break{Digest: x.requestDigest(), Upstream: u, SentAt: x.sentAt, At: r.clock.Now()}
 	r.mu.Lock()
-	isProven := r.poison.IsProven(r.clock.Now(), x.service, blocks)
+	isProven := r.poison.IsProven(b.At, x.service, blocks) && !r.requests.IsSuspect(b.Digest)
 	r.mu.Unlock()
-	id := x.info.ID
 	record := func(ended bool) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.poison.RecordBreak(r.clock.Now(), u, id, blocks, ended)
+		if len(blocks) > 0 {
+			r.poison.RecordBreak(r.clock.Now(), u, id, blocks, ended)
+		}
+		r.requests.RecordBreak(b, ended)
+		r.suspects.Store(int64(r.requests.Suspects()))
 	}
 	if isProven {
 		go func() { record(r.hasEnded(u)) }()
@@ -89,20 +115,37 @@
 	for _, id := range []cleat.UpstreamID{next.Upstream, r.roster.AddressOwner(next.Address)} {
 		if old, ok := r.roster.ByID(id); ok && old.StartedAtMillis < next.StartedAtMillis {
 			r.poison.RecordEnd(now, old)
+			r.requests.RecordEnd(now, old)
 		}
 	}
 }
 
-// allowsRepeat reports whether the prompt's blocks allow that a failed request is sent
-// to another upstream.
+// allowsRepeat reports whether a failed request may be sent to another upstream, by
+// what is known about it and its prompt's blocks.
 func (x *exchange) allowsRepeat() bool {
 	x.role.mu.Lock()
 	defer x.role.mu.Unlock()
+	if x.digest != 0 && !x.role.requests.AllowRepeat(x.digest) {
+		return false
+	}
 	return x.role.poison.AllowRepeat(x.role.clock.Now(), x.service, x.info.Prompt.SharedBlocks())
 }
 
-// tickPoison updates the quarantined blocks and logs changes. The caller holds r.mu.
+// tickPoison updates the quarantined blocks and requests and logs changes. The caller
+// holds r.mu.
 func (r *Role) tickPoison(now time.Time) {
+	for _, q := range r.requests.Tick(now) {
+		fields := []any{
+			"digest", strconv.FormatUint(q.Digest, 16), "upstreams", q.Upstreams,
+			"first_crash", now.Sub(q.FirstAt).Round(time.Millisecond), "last_crash", now.Sub(q.LastAt).Round(time.Millisecond),
+		}
+		if q.Active {
+			r.log.Warn("request quarantined", fields...)
+		} else {
+			r.log.Info("request no longer quarantined", fields...)
+		}
+	}
+	r.suspects.Store(int64(r.requests.Suspects()))
 	added, ended := r.poison.Tick(now)
 	r.quarantined.Store(int64(r.poison.Quarantined()))
 	for _, q := range added {
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -65,6 +65,7 @@
 	lag            lagMeter      // Recent scheduling delay; see lagLoop.
 	shed           atomic.Int64  // Requests refused for lack of processor time.
 	quarantined    atomic.Int64  // Prompt blocks in quarantine.
+	suspects       atomic.Int64  // Requests that are suspected of crashing upstreams, those in quarantine included.
 	limited        atomic.Int64  // Upstreams with a rate limit.
 	dispatchPause  atomic.Int64  // Last pause between passes over the waiting jobs, in nanoseconds.
 	manifestReady  chan struct{} // Signals a pending manifest.
@@ -77,6 +78,7 @@
 	streams         *resume.Table
 	queries         map[cleat.RequestID]*streamQuery // By the stream asked for.
 	poison          *poison.Table
+	requests        *poison.RequestTable
 	endChecks       map[endCheckKey]*endCheck
 	queryScheduled  bool                          // sendQueries is about to run.
 	waiters         map[uint64]chan place.Verdict // By job ID.
@@ -123,6 +125,7 @@
 		streams:        resume.New(cfg.Resume, now),
 		queries:        make(map[cleat.RequestID]*streamQuery),
 		poison:         poison.New(cfg.Poison),
+		requests:       poison.NewRequests(cfg.Requests),
 		endChecks:      make(map[endCheckKey]*endCheck),
 		waiters:        make(map[uint64]chan place.Verdict),
 		pools:          make(map[cleat.UpstreamID]*pool),
