Grant no more permits for an upstream than are wanted

A limit of 24 digits made the entry that grants its permits loop until its memory was used up: the bucket and the bound on unused permits grow with the rate. Permits are granted up to the stated demand now, which is bounded. The spec *grants no more permits than are wanted, however high the limit* runs out of its time (10 s) before the change and passes after it.

The mean prompt of a service starts with the first request's, not at zero: an entry that starts while all upstreams are limited underestimated what they take.

--- a/policy/permit/grant.go
+++ b/policy/permit/grant.go
@@ -102,20 +102,21 @@
 	b.tokens = min(b.tokens+rate*now.Sub(b.filledAt).Seconds(), 1+rate*burstTime.Seconds())
 	b.filledAt = now
 	wanted := t.wantedBy(now, id, l)
-	if len(wanted) == 0 {
-		return nil
-	}
 	var grants map[cleat.InstanceID]uint32
 	for len(b.granted) > 0 && now.Sub(b.granted[0]) >= reportLag {
 		b.granted = b.granted[1:]
 	}
 	held := t.heldBy(now, id, l)
-	for ; b.tokens >= 1 && float64(held+len(b.granted)) < openPermits+openTime.Seconds()*rate; b.tokens-- {
+	for ; len(wanted) > 0 && b.tokens >= 1 && float64(held+len(b.granted)) < openPermits+openTime.Seconds()*rate; b.tokens-- {
 		if grants == nil {
 			grants = make(map[cleat.InstanceID]uint32)
 		}
-		grants[b.next(wanted)]++
+		entry := b.next(wanted)
+		grants[entry]++
 		b.granted = append(b.granted, now)
+		if wanted[entry]--; wanted[entry] == 0 {
+			delete(wanted, entry)
+		}
 	}
 	return grants
 }
--- a/policy/permit/table_test.go
+++ b/policy/permit/table_test.go
@@ -84,6 +84,20 @@
 		Expect(received).To(BeNumerically("<=", 1))
 	})
 
+	It("grants no more permits than are wanted, however high the limit", func() {
+		t.Observe(now, now, u, 1e20)
+		now = now.Add(time.Second)
+		t.Want(now, upstreamID)
+		t.Report(now)
+		now = now.Add(time.Second)
+		for range 3 {
+			t.Want(now, upstreamID)
+		}
+		t.Report(now)
+		t.Report(now.Add(50 * time.Millisecond))
+		Expect(t.Counts(now).Received).To(BeNumerically("<=", 4))
+	})
+
 	It("doesn't use a permit once it has expired", func() {
 		now = now.Add(time.Second)
 		t.Want(now, upstreamID)
--- a/policy/place/limit.go
+++ b/policy/place/limit.go
@@ -67,7 +67,11 @@
 
 // countPrompt adds a request to the average prompt of its service.
 func (p *Planner) countPrompt(j *Job) {
-	p.promptTokens[j.Service] += promptTokensSmoothing * (float64(j.PromptTokens) - p.promptTokens[j.Service])
+	mean, ok := p.promptTokens[j.Service]
+	if !ok {
+		mean = float64(j.PromptTokens)
+	}
+	p.promptTokens[j.Service] = mean + promptTokensSmoothing*(float64(j.PromptTokens)-mean)
 }
 
 // permitCost returns a cost that keeps short prompts away from limited upstreams: each
