--- a/policy/poison/doc.go
+++ b/policy/poison/doc.go
@@ -12,6 +12,10 @@
 // caller can't have another's block refused by adding it to prompts that crash
 // upstreams.
 //
+// A whole request may crash upstreams as well, and come again under other ids.
+// RequestTable knows equal requests by a digest; other thresholds hold for them, since
+// callers poll with equal requests all the time.
+//
 // Entries tell each other of such failures, of blocks that were served after all, and
 // of quarantined blocks. Quarantine ends once no more requests with the block come.
 //
