Keep requests with evidence when many others break off at once

When upstreams with long queues end together, each request that broke off became a suspect, and the one with the oldest news made room: on a fleet of 53 engines a single such moment could push out all quarantined requests, which could then crash three more upstreams each. An eviction also compared all requests, and a link that came up carried all of them. Of a sample, the one with the least evidence makes room now, the table holds 4,096 in place of 1,024, and a new link gets those with several crashes. Read in the code; the spec *keeps a bounded number of requests ... and those in quarantine* fails before.

--- a/policy/poison/request.go
+++ b/policy/poison/request.go
@@ -14,7 +14,7 @@
 	DefaultRequestSettleTime     = time.Second
 	DefaultRequestRetention      = 30 * time.Minute
 	DefaultRequestQuarantineTime = 10 * time.Minute
-	DefaultMaxRequests           = 1024
+	DefaultMaxRequests           = 4096
 )
 
 // RequestConfig holds the settings of a table of requests.
@@ -24,7 +24,7 @@
 	SettleTime       time.Duration // From the last crash that is needed to the quarantine; answers to equal requests may clear it meanwhile.
 	Retention        time.Duration // Of crashes and answers.
 	QuarantineTime   time.Duration // Since the last crash.
-	MaxRequests      int           // With a crash; the one whose crash is oldest makes room.
+	MaxRequests      int           // That are suspected or were; those with the least evidence make room.
 }
 
 // Defaults sets the fields that are zero.
@@ -146,19 +146,39 @@
 	return true
 }
 
-// makeRoom removes the request whose last news is oldest when there are too many.
+// evictionSample is how many requests are compared to make room: many crash at once
+// when upstreams with long queues end, each of which would otherwise visit all.
+const evictionSample = 16
+
+// makeRoom removes a request when there are too many: of some, the one with the least
+// evidence, and of these the one with the oldest.
 func (t *RequestTable) makeRoom() {
 	if len(t.requests) < t.cfg.MaxRequests {
 		return
 	}
-	var oldest uint64
-	var at time.Time
-	for digest, r := range t.requests {
-		if last := r.lastAt(); at.IsZero() || last.Before(at) {
-			oldest, at = digest, last
+	var victim uint64
+	var least *request
+	n := 0
+	for digest, r := range t.requests { // In random order.
+		if least == nil || r.isWeaker(least) {
+			victim, least = digest, r
+		}
+		if n++; n == evictionSample {
+			break
 		}
 	}
-	delete(t.requests, oldest)
+	delete(t.requests, victim)
+}
+
+// isWeaker orders requests for eviction.
+func (r *request) isWeaker(other *request) bool {
+	switch {
+	case r.quarantined != other.quarantined:
+		return other.quarantined
+	case len(r.crashes) != len(other.crashes):
+		return len(r.crashes) < len(other.crashes)
+	}
+	return r.lastAt().Before(other.lastAt())
 }
 
 // lastAt returns the time of the last crash or answer.
--- a/policy/poison/request_test.go
+++ b/policy/poison/request_test.go
@@ -165,13 +165,21 @@
 		Expect(joiner.Check(guilty)).To(BeTrue())
 	})
 
-	It("keeps a bounded number of requests when each crash is under another one", func() {
-		for i := range uint64(3000) {
+	It("keeps a bounded number of requests when each crash is under another one, and those in quarantine", func() {
+		for range 3 {
+			r.crash(guilty)
+		}
+		r.wait(2 * time.Second)
+		for i := range uint64(20000) {
 			r.n++
 			u := cleat.UpstreamRecord{Upstream: cleat.UpstreamID(fmt.Sprint(i)), StartedAtMillis: 1}
-			r.RecordBreak(poison.Break{Digest: 1000 + i, Upstream: u, SentAt: r.now, At: r.now.Add(time.Duration(i))}, true)
+			r.RecordBreak(poison.Break{Digest: 1<<20 + i, Upstream: u, SentAt: r.now, At: r.now.Add(time.Duration(i))}, true)
 		}
 		Expect(r.Suspects()).To(BeNumerically("<=", poison.DefaultMaxRequests))
+		Expect(r.Check(guilty)).To(BeTrue())
+		m := &cleat.CrashReport{}
+		r.Complete(r.now, m)
+		Expect(m.Requests).To(HaveLen(3))
 	})
 })
 
--- a/policy/poison/verdict.go
+++ b/policy/poison/verdict.go
@@ -97,9 +97,13 @@
 	clear(t.newServed)
 }
 
-// Complete adds to m all that is known here, for an entry to which a link has come up.
+// Complete adds to m what is known here of requests with several crashes, for an entry
+// to which a link has come up. One crash says little, and many requests have one.
 func (t *RequestTable) Complete(now time.Time, m *cleat.CrashReport) {
 	for digest, r := range t.requests {
+		if len(r.crashes) < 2 {
+			continue
+		}
 		for _, c := range r.crashes {
 			m.Requests = append(m.Requests, reportedCrash{digest, c}.message(now))
 		}
