Bound what is admitted beyond a share by the worst served workspace

Cause: while engines have spare time, each workspace may have half a share beyond its own, whatever the others get. A workspace whose callers all reach one entry gets less than its share when that entry is short of processor time: 0.6 beside 1.35 shares. That records of streams were the cause, as suspected, is ruled out as the only one: they are cheap now.

Beyond its share a workspace now gets at most 1.6 times what is admitted for the worst served one that wants more than its share: FAIR allows twice. Spare time is left unused for that; what is beyond a share is not owed to anybody.

--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -28,6 +28,7 @@
 	reportInterval time.Duration
 	moved          func(t time.Duration, entry int) int  // The entry that a request reaches instead; nil for no change.
 	silent         func(t time.Duration, entry int) bool // Whether an entry sends no reports; nil for never.
+	busy           func(entry int) bool                  // Whether an entry refuses a request for lack of processor time; nil for never.
 
 	rnd      *rand.Rand
 	now      time.Time
@@ -149,6 +150,11 @@
 	m.lastID++
 	j.ID, j.Arrived, j.Target, j.Deadline = m.lastID, m.now, m.now.Add(modelObjective), m.now.Add(12*time.Second)
 	m.count(j.Workspace).asked += j.PromptTokens + 2*j.OutputTokens
+	if m.busy != nil && m.busy(entry) {
+		m.entries[entry].IsWithinShare(m.now, j) // Counts as demand.
+		m.count(j.Workspace).refused++
+		return
+	}
 	v, decided := m.entries[entry].Submit(m.now, j)
 	if !decided {
 		return
@@ -274,6 +280,18 @@
 		Expect(m.starved()).To(BeEmpty())
 	})
 
+	// FAIR on pastor-andino-grown: one workspace had half a share beyond its share, while
+	// another's only entry was too busy to admit its whole share.
+	It("give no workspace more than twice what one behind a busy entry gets", func() {
+		m := overloadedFleet()
+		m.busy = func(entry int) bool { return entry == 3 && m.rnd.Float64() < 0.975 }
+		m.run(2 * time.Second) // Until all entries know the demand.
+		warmUp := len(m.seconds)
+		m.run(20 * time.Second)
+		m.seconds = m.seconds[warmUp:]
+		Expect(m.starved()).To(BeEmpty())
+	})
+
 	It("refuse nothing while the capacity covers what is requested", func() {
 		m := overloadedFleet()
 		for i := range m.callers {
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -47,9 +47,17 @@
 	c.units = max(c.units-cost, -max(cost, c.limit))
 }
 
-// spareShares is what may be admitted for a workspace beyond its share while engines
-// have spare time, as a multiple of the share.
-const spareShares = 0.5
+const (
+	// spareShares is what may be admitted for a workspace beyond its share while engines
+	// have spare time, as a multiple of the share.
+	spareShares = 0.5
+	// maxServedRatio bounds that further: what a workspace gets with it, as a multiple of
+	// what is admitted for the worst served one with more demand than its share.
+	maxServedRatio = 1.6
+	// minServedSpan is how long a workspace must have more demand than its share for it
+	// to count: reports on what is admitted for it come later than those on its demand.
+	minServedSpan = time.Second
+)
 
 // withinShare reports whether a job of a workspace is within the workspace's share at
 // this entry. It returns the credit that the job is charged to; nil if the capacity is
@@ -66,10 +74,36 @@
 // withinSpare does the same beyond the share.
 func (u *usageTable) withinSpare(now time.Time, w cleat.WorkspaceID) (*credit, bool) {
 	r := u.row(now, w)
-	r.spareCredit.refill(now, spareShares*u.localRate(now, r))
+	r.spareCredit.refill(now, u.spareFraction(now)*u.localRate(now, r))
 	return &r.spareCredit, r.spareCredit.units > 0
 }
 
+// spareFraction returns what may be admitted beyond a share, as a fraction of it. While
+// an entry is too busy to admit the share of a workspace behind it, the others must not
+// get much more.
+func (u *usageTable) spareFraction(now time.Time) float64 {
+	u.share(now)
+	return min(max(0, maxServedRatio*u.leastServed-1), spareShares)
+}
+
+// recordServed updates leastServed for a share.
+func (u *usageTable) recordServed(now time.Time, share float64) {
+	u.leastServed = 1
+	for _, r := range u.rows {
+		if u.totalDemand(now, r) <= oversubscribedShares*share {
+			r.overSince = time.Time{}
+			continue
+		}
+		if r.overSince.IsZero() {
+			r.overSince = now
+		}
+		if span := min(now.Sub(r.overSince), u.window); span >= minServedSpan {
+			admitted := float64(sum(r.admitted) + r.peers.admitted)
+			u.leastServed = min(u.leastServed, admitted/share*float64(u.window)/float64(span))
+		}
+	}
+}
+
 // IsWithinShare counts the request of a job that may be submitted later, and reports
 // whether it is within the workspace's share at this entry.
 func (p *Planner) IsWithinShare(now time.Time, j *Job) bool {
@@ -110,6 +144,7 @@
 func (u *usageTable) share(now time.Time) float64 {
 	if now.Sub(u.fairShareAt) >= shareInterval {
 		u.fairShareAt, u.fairShare = now, u.maxMinShare(now)
+		u.recordServed(now, u.fairShare)
 	}
 	return u.fairShare
 }
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -45,6 +45,7 @@
 	peers                        peerUsage // At other entries.
 	newest                       int64     // Number of the newest bucket.
 	activeSince                  time.Time // When requests came after none in the newest buckets.
+	overSince                    time.Time // Since when its demand has exceeded its share; zero while it doesn't.
 	credit                       credit    // Within the workspace's share.
 	spareCredit                  credit    // Beyond the share, at engines with spare time.
 }
@@ -87,6 +88,7 @@
 	capacity    float64 // Cost units that all engines can serve in a window; zero when not known.
 	fairShare   float64 // Max-min share as of fairShareAt.
 	fairShareAt time.Time
+	leastServed float64       // What is admitted for the worst served workspace with more demand than its share, as a fraction of that.
 	peers       int           // Other entries from which reports come.
 	reportDelay time.Duration // Time within which all of them have reported a new demand.
 }
