--- a/policy/permit/grant.go
+++ b/policy/permit/grant.go
@@ -90,7 +90,7 @@
 	if granter := t.granterOf(now, id); granter != b.granter || b.turns == nil {
 		since := now
 		if b.granter == "" {
-			since = time.Time{} // Nobody has granted before, unless this entry is new; see Apply.
+			since = time.Time{} // Nobody has granted before, unless this entry is new; see merge.
 		}
 		*b = bucket{granter: granter, since: since, filledAt: now, turns: make(map[cleat.InstanceID]float64)}
 	}
