Count a stream without a prompt as begun, too

A stream of a route whose requests state no prompt never counted as begun while no request was suspected, so that an upstream that ended late in its answer counted as a crash under the request. Read in the code; the test fails before.

--- a/role/proxy/digest_test.go
+++ b/role/proxy/digest_test.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// A stream without a prompt that broke off late counted as a crash under its request.
+func TestStreamWithoutPromptBegins(t *testing.T) {
+	x := digestedExchange("POST", "/a", "", "key")
+	x.role = &Role{clock: cleat.SystemClock{}}
+	if x.recordBegun(); !x.begun {
+		t.Error("a stream without a prompt doesn't count as begun")
+	}
+}
+
 func BenchmarkRequestDigest(b *testing.B) {
 	for name, size := range map[string]int{"200 bytes": 200, "64 KiB": 64 << 10, "4 MiB": 4 << 20} {
 		b.Run(name, func(b *testing.B) {
--- a/role/proxy/poison.go
+++ b/role/proxy/poison.go
@@ -60,11 +60,14 @@
 
 // recordBegun records that an attempt's answer began without ending its upstream.
 func (x *exchange) recordBegun() {
-	blocks, hasSuspects := x.info.Prompt.SharedBlocks(), x.role.suspects.Load() > 0
-	if x.begun || (len(blocks) == 0 && !hasSuspects) {
+	if x.begun {
 		return
 	}
 	x.begun = true
+	blocks, hasSuspects := x.info.Prompt.SharedBlocks(), x.role.suspects.Load() > 0
+	if len(blocks) == 0 && !hasSuspects {
+		return
+	}
 	var digest uint64
 	if hasSuspects {
 		digest = x.requestDigest()
