Control instances: leave the log at a planned stop, remove lost learners first

A learner that lost its data stayed for good, since its instance's new replica was handled before it and waits for the old one. With an odd number of voters beyond what the platform wants to survive, as after two replacements at once, silent ones stayed. Any instance with a member's id replaced that member although it still answered.

Change: a stopping member asks the leader to remove it while the others are enough, after it has handed over leadership. planMembers removes silent learners first, then handles candidates, and refuses those with the id of a member that answers, with a log line. ToleratedLosses comes from the settings; voters beyond twice that and one are removed when silent.

--- a/cmd/hosted/control.go
+++ b/cmd/hosted/control.go
@@ -12,11 +12,15 @@
 	"marigoldcleat.example/cleat/platform"
 	"marigoldcleat.example/cleat/role/ctrl"
 	"marigoldcleat.example/cleat/role/telem"
+	"marigoldcleat.example/cleat/state/quorum"
 )
 
 // confirmInterval is how often a control instance confirms that it reaches a quorum.
 const confirmInterval = 400 * time.Millisecond
 
+// maxTolerated is the number of lost members that the largest log survives.
+const maxTolerated = (quorum.MaxVoters - 1) / 2
+
 func runControl(f *flags, boot *platform.Boot, logger *log.Logger) error {
 	linkCfg, err := f.linkConfig()
 	if err != nil {
@@ -29,6 +33,7 @@
 		ExtraHTTP: boot.ControlAPI,
 		Extra:     func(r *ctrl.Role) http.Handler { return platform.NewControlAPI(r, r) },
 		Autopilot: true, ConfirmInterval: confirmInterval,
+		ToleratedLosses: min(boot.Tolerated, maxTolerated),
 	}
 	members := make([]cleat.InstanceID, 0, len(boot.Controls))
 	for _, address := range boot.Controls {
--- a/control.go
+++ b/control.go
@@ -29,6 +29,7 @@
 	ReplicaAdd     ReplicaAction = "add"     // Adds the instance's new replica, initially as a non-voting learner.
 	ReplicaRemove  ReplicaAction = "remove"  // Removes all replicas of the instance.
 	ReplicaReplace ReplicaAction = "replace" // Replaces the instance's lost replica by its new one.
+	ReplicaLeave   ReplicaAction = "leave"   // Removes the replica of an instance that stops, if the other voters are enough.
 )
 
 // ReplicaChange asks the leader to change the membership of the replicated log.
--- a/role/ctrl/autopilot.go
+++ b/role/ctrl/autopilot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,13 +20,16 @@
 		<-ctx.Done()
 		return nil
 	}
+	policy := r.memberPolicy()
+	loggedImpostors := make(map[quorum.ReplicaID]bool)
 	for sleep(ctx, r.cfg.AutopilotInterval) {
 		s := r.host.Status()
 		r.dialMembers(&s)
 		if s.Role != quorum.RoleLeader || s.ChangePending {
 			continue
 		}
-		step, ok := planMembers(&s, r.cfg.ReplicaLostAfter)
+		r.logImpostors(&s, policy, loggedImpostors)
+		step, ok := planMembers(&s, policy)
 		if !ok {
 			continue
 		}
@@ -65,14 +69,28 @@
 // removed: an even number tolerates no more losses than the odd number below it.
 const minEvenVoters = 4
 
-// planMembers returns the leader's next change of the log's members, if any. A join
-// candidate is added, or replaces its instance's earlier replica. Learners are promoted,
-// or removed when silent. A silent voter is removed only when the number of voters is
-// even, for example once a new instance has joined to replace it.
-func planMembers(s *quorum.Status, lostAfter time.Duration) (memberStep, bool) {
-	silent, hasSilent := longestSilentVoter(s, lostAfter)
+// memberPolicy is what planMembers decides by.
+type memberPolicy struct {
+	lostAfter time.Duration // Time without contact after which a member counts as lost.
+	tolerated int           // Members that may be lost at once; zero when not known.
+}
+
+func (r *Role) memberPolicy() memberPolicy {
+	return memberPolicy{lostAfter: r.cfg.ReplicaLostAfter, tolerated: r.cfg.ToleratedLosses}
+}
+
+// planMembers returns the leader's next change of the log's members, if any. A silent
+// learner is removed first: its instance may have come back without its data. A join
+// candidate is added, or replaces its instance's lost replica; learners are promoted. A silent voter is removed when the others are enough; one that
+// may come back stays, since its disk counts towards what the log survives.
+func planMembers(s *quorum.Status, p memberPolicy) (memberStep, bool) {
+	for _, f := range s.Followers {
+		if f.Learner && f.SinceContact >= p.lostAfter {
+			return memberStep{action: cleat.ReplicaRemove, instance: f.Instance, replica: f.Replica, reason: "no contact with the learner within ReplicaLostAfter"}, true
+		}
+	}
 	for _, c := range s.JoinCandidates {
-		if isMember(s.Members, c.Replica) || (c.Cluster != "" && c.Cluster != s.Cluster) {
+		if !isEligible(s, c) || isImpostor(s, c, p.lostAfter) {
 			continue
 		}
 		if hasMember(s.Members, c.Instance) {
@@ -81,20 +99,51 @@
 		return memberStep{action: cleat.ReplicaAdd, instance: c.Instance, reason: "a new instance"}, true
 	}
 	for _, f := range s.Followers {
-		switch {
-		case !f.Learner:
-		case f.SinceContact >= lostAfter:
-			return memberStep{action: cleat.ReplicaRemove, instance: f.Instance, replica: f.Replica, reason: "no contact with the learner within ReplicaLostAfter"}, true
-		default:
+		if f.Learner {
 			return memberStep{action: cleat.ReplicaReplace, instance: f.Instance, reason: "the instance has no vote yet"}, true
 		}
 	}
-	if hasSilent && countVoters(s.Members)%2 == 0 && countVoters(s.Members) >= minEvenVoters {
-		return memberStep{action: cleat.ReplicaRemove, instance: silent.Instance, replica: silent.Replica, reason: "no contact with the voter within ReplicaLostAfter, and the number of voters is even"}, true
+	if silent, ok := longestSilentVoter(s, p.lostAfter); ok && p.hasSpareVoter(countVoters(s.Members)) {
+		return memberStep{action: cleat.ReplicaRemove, instance: silent.Instance, replica: silent.Replica, reason: "no contact with the voter within ReplicaLostAfter, and the others are enough"}, true
 	}
 	return memberStep{}, false
 }
 
+// hasSpareVoter reports whether the log survives as many losses with one voter less.
+func (p memberPolicy) hasSpareVoter(voters int) bool {
+	if p.tolerated > 0 && voters > 2*p.tolerated+1 {
+		return true
+	}
+	return voters%2 == 0 && voters >= minEvenVoters
+}
+
+// isEligible reports whether a join candidate is no member yet and of this log, or of none.
+func isEligible(s *quorum.Status, c quorum.JoinCandidate) bool {
+	return !isMember(s.Members, c.Replica) && (c.Cluster == "" || c.Cluster == s.Cluster)
+}
+
+// isImpostor reports whether a join candidate has the id of a member that still answers.
+// An instance that lost its data answers no more under its earlier identity.
+func isImpostor(s *quorum.Status, c quorum.JoinCandidate, lostAfter time.Duration) bool {
+	if c.Instance == s.Instance {
+		return true
+	}
+	return slices.ContainsFunc(s.Followers, func(f quorum.Follower) bool {
+		return f.Instance == c.Instance && f.SinceContact < lostAfter
+	})
+}
+
+// logImpostors logs the join candidates that are refused for their id, each once.
+func (r *Role) logImpostors(s *quorum.Status, p memberPolicy, logged map[quorum.ReplicaID]bool) {
+	for _, c := range s.JoinCandidates {
+		if logged[c.Replica] || !isEligible(s, c) || !isImpostor(s, c, p.lostAfter) {
+			continue
+		}
+		logged[c.Replica] = true
+		r.log.Warn("join refused for now: the instance has the id of a member that still answers", "instance", c.Instance, "replica", c.Replica)
+	}
+}
+
 func longestSilentVoter(s *quorum.Status, after time.Duration) (quorum.Follower, bool) {
 	var longest quorum.Follower
 	found := false
--- a/role/ctrl/config.go
+++ b/role/ctrl/config.go
@@ -10,6 +10,7 @@
 	"marigoldcleat.example/cleat/link/wire"
 	"marigoldcleat.example/cleat/policy/member"
 	"marigoldcleat.example/cleat/policy/order"
+	"marigoldcleat.example/cleat/state/quorum"
 )
 
 // Defaults of Config, and fixed intervals and limits.
@@ -55,6 +56,7 @@
 
 	AutopilotInterval time.Duration // Between checks of the log's members.
 	ReplicaLostAfter  time.Duration // Time without contact after which a member of the log counts as lost.
+	ToleratedLosses   int           // Members of the log that may be lost at once; zero when not known.
 	MaxQuorumAge      time.Duration // Upstreams are announced or withdrawn only if a quorum answered within this time.
 
 	PushInterval    time.Duration // Least time between two pushes of changed settings to nodes.
@@ -98,9 +100,9 @@
 	if c.DataFolder == "" {
 		return trace.BadParameter("Config.Validate: the data folder is not set")
 	}
-	cleat.SetDefault(&c.AutopilotInterval, DefaultAutopilotInterval)
-	cleat.SetDefault(&c.ReplicaLostAfter, DefaultReplicaLostAfter)
-	cleat.SetDefault(&c.MaxQuorumAge, DefaultMaxQuorumAge)
+	if c.ToleratedLosses < 0 || 2*c.ToleratedLosses+1 > quorum.MaxVoters {
+		return trace.BadParameter("Config.Validate: %d lost members can't be tolerated: the log has at most %d voters", c.ToleratedLosses, quorum.MaxVoters)
+	}
 	if len(c.InitialInstances) == 0 && len(c.Join) == 0 {
 		return trace.BadParameter("Config.Validate: either the initial instances of a new log or the instances to join are required")
 	}
--- a/role/ctrl/replicas.go
+++ b/role/ctrl/replicas.go
@@ -80,6 +80,8 @@
 		return r.addReplica(ctx, id, true)
 	case cleat.ReplicaRemove:
 		return r.removeReplicas(ctx, id, "")
+	case cleat.ReplicaLeave:
+		return r.releaseReplica(ctx, id)
 	}
 	return trace.BadParameter("Role.changeReplicas: unknown action %q", action)
 }
@@ -198,6 +200,47 @@
 	return nil
 }
 
+// releaseReplica removes the replicas of an instance that stops. It returns a
+// trace.LimitExceeded error when the log would survive fewer losses without them.
+func (r *Role) releaseReplica(ctx context.Context, id cleat.InstanceID) error {
+	s := r.host.Status()
+	if s.ChangePending || !r.memberPolicy().hasSpareVoter(countVoters(s.Members)) {
+		return trace.LimitExceeded("Role.releaseReplica: %s is needed among %d voters", id, countVoters(s.Members))
+	}
+	return r.removeReplicas(ctx, id, "")
+}
+
+// leaveTimeout bounds how long a stop is delayed by leaving the log.
+const leaveTimeout = time.Second
+
+// leaveLog removes this instance from the log before it stops, if the other voters are
+// enough: as a silent member it would count against them until it is found lost.
+func (r *Role) leaveLog() {
+	if !r.cfg.Autopilot || !r.isSpare() {
+		return
+	}
+	r.host.TransferLeadership()
+	ctx, cancel := context.WithTimeout(r.ctx, leaveTimeout)
+	defer cancel()
+	for r.isSpare() {
+		err := r.ChangeReplicas(ctx, cleat.ReplicaLeave, r.self.Instance)
+		if err == nil {
+			r.log.Info("left the log before stopping")
+			return
+		}
+		if !sleep(ctx, replicaPollInterval) {
+			r.log.Warn("stopping as a member of the log", "err", err)
+			return
+		}
+	}
+}
+
+// isSpare reports whether this instance is a member that the log can do without.
+func (r *Role) isSpare() bool {
+	s := r.host.Status()
+	return isMember(s.Members, s.Replica) && r.memberPolicy().hasSpareVoter(countVoters(s.Members))
+}
+
 // retryStep runs a step and retries it after an error that means it certainly had no
 // effect, while this instance leads and until ctx ends.
 func (r *Role) retryStep(ctx context.Context, step func() error) error {
--- a/role/ctrl/role.go
+++ b/role/ctrl/role.go
@@ -237,10 +237,14 @@
 	})
 }
 
-// Drain makes the health checks report that the role is not ready, and ends Run.
+// Drain makes the health checks report that the role is not ready, leaves the log if the
+// other voters are enough, and ends Run. It returns at once.
 func (r *Role) Drain() {
 	r.health.Drain()
-	r.cancel()
+	go func() {
+		r.leaveLog()
+		r.cancel()
+	}()
 }
 
 // Close ends Run without changing the health checks.
--- a/state/quorum/host.go
+++ b/state/quorum/host.go
@@ -119,7 +119,7 @@
 		wg.Go(func() { worker(workers) })
 	}
 	<-ctx.Done()
-	h.transferLeadership()
+	h.TransferLeadership()
 	stop()
 	wg.Wait()
 	h.mu.Lock()
--- a/state/quorum/worker.go
+++ b/state/quorum/worker.go
@@ -131,9 +131,9 @@
 	}
 }
 
-// transferLeadership asks another replica to take over and waits for up to
+// TransferLeadership asks another replica to take over, if this one leads, and waits for up to
 // transferTimeout before this one stops.
-func (h *Host) transferLeadership() {
+func (h *Host) TransferLeadership() {
 	h.withReplica(h.replica.TransferLeader)
 	deadline := time.After(transferTimeout)
 	ticker := time.NewTicker(h.cfg.TickInterval)
