Entries: heed upstreams that leave or want a pause, behind one gate

Cause: nothing read Server-Leaving, and nothing a server's Retry-After. A server that left without control's knowledge got requests until it ended; one that turned requests away got more as soon as its back-off ended. A placed request was sent whatever had become known while its connection was opened. A rate limit that had ended was noticed only under pressure, since its cost kept all requests away.

With the parts of the gate taken out one by one, specs of policy/place fail.

Change: that an upstream leaves is its phase in the roster, until its next incarnation. A pause is kept with the back-off of the upstream at the planner, spread, bounded by a minute, and followed by a ramp. The planner asks one gate for each way to an upstream, and once more before the first byte is sent. When all of a service are paused, requests are refused at once with the time at which the first returns. Limits that may have ended are tried again.

Result: specs pass.

--- a/dialect.go
+++ b/dialect.go
@@ -49,6 +49,10 @@
 	RateLimit    float64 // Requests a second that the upstream takes from all entries together; zero when it names no limit.
 	BadRateLimit string  // A limit that can't be read, possibly shortened; empty when there is none.
 
+	Leaving    bool          // The upstream shuts down and wants no further requests.
+	RetryAfter time.Duration // How long the upstream, which refuses the request, wants no further ones from this entry; zero when it names no time.
+	BadNotice  string        // A value of one of these two that can't be read, possibly shortened; empty when there is none.
+
 	HasLoad bool // The fields below are set.
 	Running int
 	Waiting int
--- a/policy/permit/table.go
+++ b/policy/permit/table.go
@@ -181,6 +181,23 @@
 	return 0
 }
 
+// Bounds of the time without an answer after which a limit may have ended.
+const (
+	minFreshness, maxFreshness = time.Second, 4 * time.Second
+	freshRequests              = 3 // Requests of a limited upstream, at its rate, in that time.
+)
+
+// IsStale reports whether no answer has confirmed an upstream's limit for so long that it
+// may have ended: only a further request can tell.
+func (t *Table) IsStale(now time.Time, id cleat.UpstreamID) bool {
+	rate := t.Rate(id)
+	if rate == 0 {
+		return false
+	}
+	fresh := time.Duration(freshRequests / rate * float64(time.Second))
+	return now.Sub(t.limits[id].observedAt) > min(max(fresh, minFreshness), maxFreshness)
+}
+
 // Allows reports whether a request may be sent to an upstream: it has no rate limit,
 // or there is a permit.
 func (t *Table) Allows(now time.Time, id cleat.UpstreamID) bool {
@@ -201,15 +218,19 @@
 	}
 }
 
-// Use takes a permit for a request that is to be sent, if its upstream is limited.
-func (t *Table) Use(now time.Time, id cleat.UpstreamID) {
-	if t.Rate(id) > 0 {
-		l := t.limits[id]
-		if l.expire(now); len(l.permits) > 0 {
-			l.permits = l.permits[1:]
-			l.counts.Used++
-		}
+// Use takes a permit for a request that is to be sent, and reports whether its upstream
+// is limited and there was one.
+func (t *Table) Use(now time.Time, id cleat.UpstreamID) bool {
+	if t.Rate(id) == 0 {
+		return false
+	}
+	l := t.limits[id]
+	if l.expire(now); len(l.permits) == 0 {
+		return false
 	}
+	l.permits = l.permits[1:]
+	l.counts.Used++
+	return true
 }
 
 // Return gives back the permit of a request that was not sent.
--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -19,7 +19,7 @@
 	var bestCost time.Duration
 	var limited []candidate // Upstreams that could take the job with a permit.
 	for _, u := range p.services[j.Service] {
-		if !isUsable(u, j) || now.Before(u.avoidUntil) {
+		if !isUsable(u, j) || !u.isOpen(now) {
 			continue
 		}
 		cost, ok := p.cost(now, j, u, late)
@@ -44,7 +44,7 @@
 func (p *Planner) fallbackUpstream(now time.Time, j *Job) *upstream {
 	var best *upstream
 	for _, u := range p.services[j.Service] {
-		if !isUsable(u, j) || !p.limits.Allows(now, u.record.Upstream) {
+		if !isUsable(u, j) || u.isPaused(now) || !p.limits.Allows(now, u.record.Upstream) {
 			continue
 		}
 		if !now.Before(u.avoidUntil) {
@@ -85,7 +85,7 @@
 	if !ok {
 		return 0, false
 	}
-	cost := wait + penalty + interference + cacheMissCost(j, u, cached) + p.permitCost(u, prefill)
+	cost := wait + penalty + interference + cacheMissCost(j, u, cached) + p.permitCost(now, u, prefill)
 	if late {
 		return cost, u.expectedWait(0) <= p.cfg.LateBacklog
 	}
@@ -265,7 +265,7 @@
 	l := serviceLoad{share: share, fallbackDelay: p.cfg.MaxRetryAfter, plain: p.engines[s] == nil}
 	unlimited := false
 	for _, u := range p.services[s] {
-		if u.record.Phase != cleat.UpstreamReady || now.Before(u.avoidUntil) {
+		if u.record.Phase != cleat.UpstreamReady || u.isPaused(now) || now.Before(u.avoidUntil) {
 			continue
 		}
 		rate := u.prefillRate
--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -28,6 +28,7 @@
 	prefill       int // Prompt tokens that the upstream has to prefill.
 	memory        int // Tokens that the job takes of the engine's memory.
 	hasFirstEvent bool
+	hasPermit     bool          // It took a permit of its upstream, which has a rate limit.
 	wantedAt      time.Time     // When it last counted as demand for permits.
 	idleWait      time.Duration // See Planner.idleWait.
 	idleWaitAt    time.Time
@@ -57,6 +58,7 @@
 // The reasons to refuse a job.
 const (
 	ReasonNoUpstream Reason = "no_upstream" // The service has no usable upstream that was not tried.
+	ReasonPaused     Reason = "paused"      // All upstreams that could run the job asked to be left alone for a while.
 	ReasonNoVersion  Reason = "no_version"  // No usable upstream has the software version that began the stream.
 	ReasonOverload   Reason = "overload"    // The job can't be served in time.
 	ReasonOverShare  Reason = "over_share"  // The workspace has recently used its share of the capacity.
--- a/policy/place/limit.go
+++ b/policy/place/limit.go
@@ -37,14 +37,14 @@
 const wantInterval = time.Second
 
 // wantPermits counts a job as demand for permits of the limited upstreams that would
-// be a better choice than the one without a limit.
+// be a better choice than the one without a limit, or whose limit may have ended.
 func (p *Planner) wantPermits(now time.Time, j *Job, limited []candidate, best *upstream, bestCost time.Duration) {
 	if len(limited) == 0 || now.Sub(j.wantedAt) < wantInterval {
 		return
 	}
 	j.wantedAt = now
 	for _, c := range limited {
-		if best == nil || c.cost < bestCost {
+		if best == nil || c.cost < bestCost || p.limits.IsStale(now, c.upstream.record.Upstream) {
 			p.limits.Want(now, c.upstream.record.Upstream)
 		}
 	}
@@ -76,10 +76,10 @@
 
 // permitCost returns a cost that keeps short prompts away from limited upstreams: each
 // permit stands for a part of the upstream's time, of which a short prompt leaves most
-// unused.
-func (p *Planner) permitCost(u *upstream, prefill int) time.Duration {
+// unused. There is none where the limit may have ended, or nothing would ask again.
+func (p *Planner) permitCost(now time.Time, u *upstream, prefill int) time.Duration {
 	rate := p.limits.Rate(u.record.Upstream)
-	if rate == 0 {
+	if rate == 0 || p.limits.IsStale(now, u.record.Upstream) {
 		return 0
 	}
 	unused := time.Duration(float64(time.Second)/rate) - time.Duration(float64(prefill)/u.prefillRate)*time.Millisecond
--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -10,6 +10,9 @@
 		}
 		u.recordFirstEvent(now, j)
 		u.recordReachable()
+		if !j.sentAt.Before(u.pausedUntil) {
+			u.widenRamp()
+		}
 	}
 }
 
@@ -40,6 +43,7 @@
 	OutcomeFailed              // The upstream answered with an error, or truncated the answer.
 	OutcomeFull                // The upstream did not run it for lack of capacity.
 	OutcomeUnreachable         // No connection, or the connection was lost.
+	OutcomeShutDown            // It refuses connections after it has closed one in good order.
 	OutcomeCanceled            // The caller left or its deadline passed.
 	OutcomeNotSent             // As OutcomeCanceled, before the request was sent.
 )
@@ -58,9 +62,12 @@
 	}
 	u.removeJob(j)
 	delete(p.jobs, j.ID)
-	if o == OutcomeNotSent {
+	if o == OutcomeNotSent && j.hasPermit {
 		p.limits.Return(u.record.Upstream)
 	}
+	if u.isPaused(now) && (o == OutcomeFailed || o == OutcomeFull) {
+		return // The pause answers it; afterwards the upstream is as good as before.
+	}
 	switch o {
 	case OutcomeServed:
 		u.recordOutcome(now, false)
@@ -71,5 +78,8 @@
 		u.avoidUntil = now.Add(initialBackoff)
 	case OutcomeUnreachable:
 		u.recordUnreachable(now)
+	case OutcomeShutDown:
+		u.consecutiveFailures = max(u.consecutiveFailures, maxBackoffFailures)
+		u.recordUnreachable(now)
 	}
 }
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -161,8 +161,8 @@
 }
 
 func (p *Planner) decide(now time.Time, j *Job) (Verdict, bool) {
-	if !p.hasUsableUpstream(j) {
-		return p.refuseUnplaceable(j), true
+	if v, refused := p.refuseUnplaceable(now, j); refused {
+		return v, true
 	}
 	p.extendLongTarget(now, j)
 	if v, refused := p.enforceShare(now, j); refused {
@@ -244,26 +244,6 @@
 	return slices.ContainsFunc(p.waiting, func(w *Job) bool { return w.Service == j.Service })
 }
 
-// refuseUnplaceable refuses a job that no upstream of its service can run now.
-func (p *Planner) refuseUnplaceable(j *Job) Verdict {
-	v := Verdict{Job: j, Reason: ReasonNoUpstream, RetryAfter: p.cfg.MaxRetryAfter / 4}
-	if j.Version != "" {
-		v.Reason = ReasonNoVersion
-	}
-	return v
-}
-
-// hasUsableUpstream reports whether the service has a ready upstream that the job
-// has not tried, of the version that it needs.
-func (p *Planner) hasUsableUpstream(j *Job) bool {
-	return slices.ContainsFunc(p.services[j.Service], func(u *upstream) bool { return isUsable(u, j) })
-}
-
-func isUsable(u *upstream, j *Job) bool {
-	return u.record.Phase == cleat.UpstreamReady && (j.Version == "" || j.Version == u.record.Version) &&
-		!slices.Contains(j.Tried, u.record.Upstream)
-}
-
 // maxFailedTries bounds for how many jobs of a service one dispatch round looks for an
 // upstream in vain, so that the cost of a round doesn't grow with a queue that no
 // engine can take.
@@ -280,9 +260,9 @@
 	failedTries := make(map[cleat.ServiceName]int)
 	loads := make(map[cleat.ServiceName]serviceLoad)
 	for _, j := range p.dispatchOrder(now) {
-		if !p.hasUsableUpstream(j) {
+		if v, refused := p.refuseUnplaceable(now, j); refused {
 			j.refund()
-			verdicts = append(verdicts, p.refuseUnplaceable(j))
+			verdicts = append(verdicts, v)
 			continue
 		}
 		if failedTries[j.Service] < maxFailedTries {
@@ -372,7 +352,7 @@
 			p.newBlocks = append(p.newBlocks, cleat.CachedBlock{Upstream: u.record.Upstream, Digest: block.Digest, Tokens: uint32(block.Tokens)})
 		}
 	}
-	p.limits.Use(now, u.record.Upstream)
+	j.hasPermit = p.limits.Use(now, u.record.Upstream)
 	u.addJob(now, j)
 	p.jobs[j.ID] = j
 	p.usage.addAdmitted(now, j.Workspace, j.costUnits())
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -44,6 +44,9 @@
 	// initialBackoff and maxBackoff bound how long an upstream that can't be reached
 	// is avoided.
 	initialBackoff, maxBackoff = 200 * time.Millisecond, 3 * time.Second
+	// maxBackoffFailures is the number of failures in a row after which the back-off is
+	// maxBackoff.
+	maxBackoffFailures = 4
 	// cacheMemoryShare is the fraction of an engine's memory that is assumed to
 	// cache shared prefix blocks.
 	cacheMemoryShare = 0.5
@@ -78,6 +81,9 @@
 
 	consecutiveFailures int // Failed connections in a row.
 	avoidUntil          time.Time
+
+	pausedUntil time.Time // Until then it wants no request from this entry.
+	ramp        int       // Jobs of this entry that it may run at once after a pause; zero for no such bound.
 }
 
 func newUpstream(r cleat.UpstreamRecord, prefillRate float64) *upstream {
--- a/policy/roster/table.go
+++ b/policy/roster/table.go
@@ -23,8 +23,9 @@
 
 // row holds the record of one upstream.
 type row struct {
-	record    cleat.UpstreamRecord
-	updatedAt time.Time // When the record was last accepted or withdrawn.
+	record      cleat.UpstreamRecord
+	updatedAt   time.Time // When the record was last accepted or withdrawn.
+	saidLeaving bool      // An answer of this incarnation said that it leaves, whatever it announces.
 }
 
 // Table holds the latest record of each upstream. It is not safe for concurrent use.
@@ -67,8 +68,12 @@
 	if known && old.record.Phase == cleat.UpstreamGone && old.record.StartedAtMillis == 0 && r.Phase != cleat.UpstreamGone {
 		return t.adoptIncarnation(now, old, r)
 	}
+	saidLeaving := known && old.saidLeaving && r.StartedAtMillis == old.record.StartedAtMillis
+	if saidLeaving && r.Phase == cleat.UpstreamReady {
+		r.Phase = cleat.UpstreamLeaving // Announced before, and delayed.
+	}
 	changed := !known || differs(&old.record, &r)
-	t.rows[r.Upstream] = &row{record: r, updatedAt: now}
+	t.rows[r.Upstream] = &row{record: r, updatedAt: now, saidLeaving: saidLeaving}
 	t.assignAddress(&r)
 	return changed
 }
@@ -132,6 +137,19 @@
 	return r.record, true
 }
 
+// MarkLeaving records that an answer of an upstream's incarnation said that it leaves. It
+// reports whether the record changed. A later incarnation is not concerned.
+func (t *Table) MarkLeaving(id cleat.UpstreamID, startedAtMillis int64) bool {
+	r, known := t.rows[id]
+	if !known || r.record.StartedAtMillis != startedAtMillis || r.record.Phase == cleat.UpstreamGone {
+		return false
+	}
+	r.saidLeaving = true
+	changed := r.record.Phase != cleat.UpstreamLeaving
+	r.record.Phase = cleat.UpstreamLeaving
+	return changed
+}
+
 // Tick removes withdrawn and unresponsive upstreams whose retention has passed.
 func (t *Table) Tick(now time.Time) {
 	for id, r := range t.rows {
--- a/policy/roster/table_test.go
+++ b/policy/roster/table_test.go
@@ -169,6 +169,35 @@
 		Expect(versionAt(now.Add(roster.WithdrawnRetention + 1))).To(Equal("v2"))
 	})
 
+	It("keeps an upstream that says in answers that it leaves from use until its next incarnation", func() {
+		t := roster.New()
+		phases := func() map[cleat.UpstreamID]cleat.UpstreamPhase {
+			m := make(map[cleat.UpstreamID]cleat.UpstreamPhase)
+			for _, r := range t.Usable() {
+				m[r.Upstream] = r.Phase
+			}
+			return m
+		}
+		Expect(t.MarkLeaving("a", 5)).To(BeFalse(), "unknown")
+		t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
+		Expect(t.MarkLeaving("a", 4)).To(BeFalse(), "an earlier incarnation")
+		Expect(t.MarkLeaving("a", 5)).To(BeTrue())
+		Expect(t.MarkLeaving("a", 5)).To(BeFalse(), "known")
+		Expect(phases()).To(HaveKeyWithValue(cleat.UpstreamID("a"), leaving))
+		t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 9}.record())
+		Expect(phases()).To(HaveKeyWithValue(cleat.UpstreamID("a"), leaving), "after a delayed announcement")
+		t.Add(now, announcement{"a", "s", "10.0.0.1:1", leaving, 5, 10}.record())
+		Expect(phases()).To(HaveKeyWithValue(cleat.UpstreamID("a"), leaving))
+		t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 7, 1}.record())
+		Expect(phases()).To(HaveKeyWithValue(cleat.UpstreamID("a"), ready), "after its restart under the same id")
+		t.MarkLeaving("a", 7)
+		t.Add(now, announcement{"b", "s", "10.0.0.1:1", ready, 8, 1}.record())
+		Expect(phases()).To(Equal(map[cleat.UpstreamID]cleat.UpstreamPhase{"b": ready}), "another at its address")
+		t.Withdraw(now, "b")
+		Expect(t.MarkLeaving("b", 8)).To(BeFalse(), "gone")
+		Expect(phases()).To(BeEmpty())
+	})
+
 	It("keeps an upstream without announcements until AnnouncementTimeout", func() {
 		t := roster.New()
 		t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -31,8 +31,11 @@
 	conn, err := p.get(x.ctx, now, x.dialedBefore(now))
 	if err != nil {
 		outcome := place.OutcomeUnreachable
-		if x.ctx.Err() != nil {
+		switch {
+		case x.ctx.Err() != nil:
 			outcome = place.OutcomeNotSent
+		case p.hasShutDown(err):
+			outcome = place.OutcomeShutDown
 		}
 		x.role.recordEnd(x.job, outcome)
 		x.logDecision("not_connected", "upstream", u.Upstream, "address", u.Address, "err", err)
@@ -42,6 +45,12 @@
 		}
 		return resultNotRun, nil
 	}
+	if !x.role.maySend(x.job) {
+		p.putBack(conn)
+		x.role.recordEnd(x.job, place.OutcomeNotSent)
+		x.logDecision("not_sent", "upstream", u.Upstream, "why", "it left, restarted, paused or named a rate limit meanwhile")
+		return resultNotSent, nil
+	}
 	x.attempts++
 	x.answerStarted, x.begun, x.attemptEvents = false, false, 0
 	x.sentAt = x.role.clock.Now()
@@ -54,6 +63,8 @@
 		return x.handleConnLost(u, err), nil
 	}
 	x.recordRateLimit(u, info)
+	x.recordNotice(u, resp.StatusCode, info)
+	p.recordClose(resp.Close)
 	return x.handleAnswer(u, p, conn, resp, info)
 }
 
--- a/role/proxy/conn.go
+++ b/role/proxy/conn.go
@@ -65,9 +65,6 @@
 // maxHeadBytes bounds an answer's head, with the informational answers before it.
 const maxHeadBytes = 64 << 10
 
-// errNotSent marks a failure to connect, before any byte was sent.
-var errNotSent = errors.New("not sent")
-
 // pool keeps idle connections to one upstream.
 type pool struct {
 	addr string
@@ -77,6 +74,7 @@
 	idle    []*upstreamConn // Most recently used last.
 	maxIdle int
 	closed  bool
+	closing bool // The newest answer closed its connection, as those of an upstream that leaves do.
 }
 
 func newPool(addr string, cfg *Config) *pool {
@@ -97,7 +95,7 @@
 		c := p.popIdle()
 		switch {
 		case c == nil && !before.IsZero():
-			return nil, trace.Wrap(errNotSent, "pool.get: no connection from before %v ago", now.Sub(before))
+			return nil, trace.NotFound("pool.get: no connection from before %v ago", now.Sub(before))
 		case c == nil:
 			return p.dial(ctx, now)
 		}
@@ -109,6 +107,21 @@
 	}
 }
 
+// recordClose records whether an answer closes its connection.
+func (p *pool) recordClose(closes bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closing = closes
+}
+
+// hasShutDown reports whether a failure to connect means that the upstream has shut down:
+// nothing listens, after an answer that closed its connection.
+func (p *pool) hasShutDown(err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closing && errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (p *pool) popIdle() *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,7 +139,7 @@
 	}}
 	c, err := d.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
-		return nil, trace.Wrap(errNotSent, "pool.dial: %v", err)
+		return nil, trace.Wrap(err, "pool.dial")
 	}
 	return newUpstreamConn(c, p.cfg, now), nil
 }
@@ -168,6 +181,21 @@
 	p.idle = append(p.idle, c)
 }
 
+// putBack returns a connection on which nothing was sent.
+func (p *pool) putBack(c *upstreamConn) {
+	if c.expiry.IsZero() {
+		c.close() // It is new: only an answer tells how long it may stay idle.
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle) >= p.maxIdle {
+		c.close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
 // sweep closes idle connections that have expired.
 func (p *pool) sweep(now time.Time) {
 	p.mu.Lock()
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -14,10 +14,11 @@
 type result uint8
 
 const (
-	resultDone   result = iota // The caller has its final answer or has disconnected.
-	resultNotRun               // The request has not run; another upstream may be tried.
-	resultFailed               // The request may have run, and nothing was relayed to the caller.
-	resultBroken               // A stream ended early after events were relayed to the caller.
+	resultDone    result = iota // The caller has its final answer or has disconnected.
+	resultNotRun                // The request has not run; another upstream may be tried.
+	resultFailed                // The request may have run, and nothing was relayed to the caller.
+	resultBroken                // A stream ended early after events were relayed to the caller.
+	resultNotSent               // The request was not sent, since the upstream is no longer to be used.
 )
 
 // defaultOutputTokens is the expected length of an answer when the request states none.
@@ -62,6 +63,9 @@
 		if res == resultDone {
 			return
 		}
+		if res == resultNotSent {
+			continue
+		}
 		if !x.allowRetry(res, v.Upstream) {
 			x.answerFailure(answer)
 			return
