--- a/policy/place/gate_test.go
+++ b/policy/place/gate_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -95,6 +96,22 @@
 		Expect(r.Dispatch(r.now)).To(ConsistOf(HaveField("Job", second)))
 	})
 
+	backoffs := map[place.Outcome]time.Duration{place.OutcomeUnreachable: 200 * time.Millisecond, place.OutcomeShutDown: 3 * time.Second}
+	for outcome, backoff := range backoffs {
+		It(fmt.Sprintf("sends nothing for %v to an upstream that could not be connected", backoff), func() {
+			r := newRig(0, 2, 0)
+			v := r.submit(r.plainJob())
+			lost := v.Upstream.Upstream
+			r.RecordEnd(r.now, v.Job, outcome)
+			for r.now.Before(start.Add(backoff)) {
+				v := r.submit(r.plainJob())
+				Expect(v.Upstream.Upstream).NotTo(Equal(lost))
+				r.RecordEnd(r.now, v.Job, place.OutcomeServed)
+				r.now = r.now.Add(50 * time.Millisecond)
+			}
+		})
+	}
+
 	cases := map[string]struct {
 		pauses    []time.Duration
 		restarted bool
--- a/role/proxy/conn.go
+++ b/role/proxy/conn.go
@@ -172,21 +172,21 @@
 		c.close()
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= p.maxIdle {
-		c.close()
-		return
-	}
-	p.idle = append(p.idle, c)
+	p.keep(c)
 }
 
-// putBack returns a connection on which nothing was sent.
+// putBack returns a connection on which nothing was sent, or closes it: a new one has no
+// answer yet that tells how long it may stay idle.
 func (p *pool) putBack(c *upstreamConn) {
 	if c.expiry.IsZero() {
-		c.close() // It is new: only an answer tells how long it may stay idle.
+		c.close()
 		return
 	}
+	p.keep(c)
+}
+
+// keep adds a connection to the idle ones, or closes it if there are enough.
+func (p *pool) keep(c *upstreamConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle) >= p.maxIdle {
