solo: keep the operators' address for the greeting

Cause: printWelcome asked the control instance for its address, in a goroutine that may still run when stopControl has set it to nil. Evidence: the new spec fails on the code before, under the race detector with a data race and then a nil pointer. Change: the address is kept as text when control starts.

--- a/cmd/solo/control.go
+++ b/cmd/solo/control.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	s.controlURL = "http://" + s.control.HTTPAddr()
 	s.controlErr = make(chan error, 1)
 	go func() { s.controlErr <- s.control.Run() }()
 	return s.writeSettings()
@@ -48,13 +49,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	client := admin.NewClient([]string{s.controlURL()}, token)
+	client := admin.NewClient([]string{s.controlURL}, token)
 	_, err = client.Change(context.Background(), change)
 	return trace.Wrap(err, "solo.writeSettings")
 }
 
-func (s *solo) controlURL() string { return "http://" + s.control.HTTPAddr() }
-
 // rootToken waits until the control instance has created the fleet's first token,
 // and returns its secret.
 func (s *solo) rootToken() (string, error) {
--- a/cmd/solo/main.go
+++ b/cmd/solo/main.go
@@ -54,5 +54,5 @@
   CLEAT_SERVER=%[4]s CLEAT_TOKEN=%[5]s go run ./cmd/cleatctl list /
 
 Stop with Ctrl-C.
-`, s.addr(), demoWorkspace, demoKey, s.controlURL(), s.operatorToken)
+`, s.addr(), demoWorkspace, demoKey, s.controlURL, s.operatorToken)
 }
--- a/cmd/solo/solo.go
+++ b/cmd/solo/solo.go
@@ -42,6 +42,7 @@
 	dataFolder    string // Of the control instance.
 	operatorToken string // Secret of the fleet's first operator token.
 	control       *ctrl.Role
+	controlURL    string // For operators; set once control is started.
 	controlErr    chan error
 	entry         *entry.Daemon
 	agents        []*agent.Agent
--- a/cmd/solo/solo_test.go
+++ b/cmd/solo/solo_test.go
@@ -74,4 +74,15 @@
 		Eventually(answered, waitTimeout).Should(Receive(HaveSuffix("data: [DONE]\n\n")))
 		Eventually(runErr, waitTimeout).Should(Receive(BeNil()))
 	})
+
+	// A data race when a spec failed at its start, so that the fleet was stopped while it became ready.
+	It("is stopped while it announces that it is ready", func() {
+		announced := make(chan struct{})
+		go func() {
+			defer close(announced)
+			printWelcome(s)
+		}()
+		Expect(s.stopControl()).To(Succeed())
+		Eventually(announced, waitTimeout).Should(BeClosed())
+	})
 })
