Agents: report a deadline that passes before the body has arrived as such

Cause: runAtUpstream took each end of the wait for the body for a caller that left, so operators looked for a disconnection that wasn't there. Change: the cause of the run's end decides, as it does once it is connected.

--- a/role/agent/agent_test.go
+++ b/role/agent/agent_test.go
@@ -270,6 +270,18 @@
 		Expect(plain.TotalRuns()).To(BeZero())
 	})
 
+	It("reports the deadline, and that nothing ran, when it passes before the body has arrived", func() {
+		a := startAgent(nil)
+		plain := startPlainUpstream(a)
+		e := startEntry(a, 1)
+		attempt := e.dispatch("r1", plainStream(), func(d *cleat.Dispatch) {
+			d.Body, d.BodyMore, d.Timeout, d.Repeatable = []byte("half of"), true, 200*time.Millisecond, true
+		})
+		Eventually(e.isSettled(attempt), waitTimeout).Should(BeTrue())
+		Expect(e.answerCopy(attempt).outcome).To(And(HaveField("Kind", cleat.OutcomeNotRun), HaveField("Reason", cleat.ReasonDeadline)))
+		Expect(plain.TotalRuns()).To(BeZero())
+	})
+
 	It("delivers running answers when draining, then ends", func() {
 		a := startAgent(nil)
 		startEngine(a, func(c *fakes.EngineConfig) { c.TokenInterval = time.Millisecond })
--- a/role/agent/dispatch.go
+++ b/role/agent/dispatch.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -50,7 +52,10 @@
 
 func (a *Agent) runAtUpstream(r *run, u *upstream) cleat.Outcome {
 	body, ok := r.awaitBody()
-	if !ok || u == nil {
+	switch {
+	case !ok && errors.Is(context.Cause(r.ctx), errDeadline):
+		return cleat.Outcome{Kind: cleat.OutcomeNotRun, Reason: cleat.ReasonDeadline}
+	case !ok || u == nil:
 		return cleat.Outcome{Kind: cleat.OutcomeNotRun, Reason: cleat.ReasonCallerGone}
 	}
 	m := r.dispatch
