Entries: accept fewer connections while they are short of processor time

An entry accepted all of them, up to 750 at once, and its lag rose to 1 to 4 s: what it had admitted of the workspace's share timed out behind refusals.

Change: while the lag exceeds 100 ms, each accept waits until it has fallen, for 50 ms at most. Callers that aren't accepted within a second try another entry. It doesn't wait while the entry shuts down, so that connections in the listener's queue are accepted before it is closed.

--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -33,6 +33,7 @@
 	MaxHeadBytes  int64         // Maximum size of a request's head; a few KiB more may pass, because reads are buffered.
 	MaxDrainBytes int64         // Limit on the unread body bytes that are discarded to keep the connection open.
 	MaxPending    int           // Accepted connections that no worker has started to serve; further ones stay in the listener's queue.
+	Busy          func() bool   // Whether the process is so short of processor time that accepts are delayed; nil for never.
 }
 
 // Defaults sets the fields that are zero.
@@ -124,6 +125,7 @@
 	s.mu.Unlock()
 	backoff := time.Duration(0)
 	for {
+		s.awaitTime()
 		c, err := l.Accept()
 		var netErr net.Error
 		switch {
@@ -145,6 +147,23 @@
 	}
 }
 
+// Bounds of the pauses between accepts while the process is short of processor time.
+const (
+	busyPause    = 5 * time.Millisecond
+	maxBusyPause = 50 * time.Millisecond
+)
+
+// awaitTime delays the next accept while Config.Busy says so. Connections that are open get
+// the processor first; callers that aren't accepted within a second go elsewhere.
+func (s *Server) awaitTime() {
+	if s.cfg.Busy == nil {
+		return
+	}
+	for waited := time.Duration(0); waited < maxBusyPause && !s.closing.Load() && s.cfg.Busy(); waited += busyPause {
+		time.Sleep(busyPause)
+	}
+}
+
 // dispatchConn hands a connection to an idle worker, or to a new one.
 func (s *Server) dispatchConn(c net.Conn) {
 	select {
--- a/role/proxy/shed.go
+++ b/role/proxy/shed.go
@@ -45,6 +45,10 @@
 	return time.Duration(lag)
 }
 
+// isBusy reports whether the entry is so short of processor time that new connections wait
+// in the listener's queue. Those that are there when it shuts down are accepted before it ends.
+func (r *Role) isBusy() bool { return !r.draining.Load() && r.lag.value(r.clock.Now()) > lagBusy }
+
 // lagLoop measures the lag.
 func (r *Role) lagLoop(ctx context.Context) error {
 	for sleep(ctx, lagInterval) {
