Callers' listener: keep its queue short, and accept more often when busy

Cause: with accepts 50 ms apart a queue of thousands of connections formed in front of a busy entry; by the time one was accepted its caller had given up.

Change: at most 256 connections wait at the listener; callers beyond that can't connect and try another entry after a second. A busy entry waits 10 ms at most before each accept.

--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
 
 	"marigoldcleat.example/cleat"
 )
@@ -97,7 +99,34 @@
 func Listen(address string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAlive: -1}
 	l, err := lc.Listen(context.Background(), "tcp", address)
-	return l, trace.Wrap(err, "httpd.Listen")
+	if err != nil {
+		return nil, trace.Wrap(err, "httpd.Listen")
+	}
+	if err := setBacklog(l, maxBacklog); err != nil {
+		return nil, trace.NewAggregate(trace.Wrap(err, "httpd.Listen"), l.Close())
+	}
+	return l, nil
+}
+
+// maxBacklog bounds the connections that wait to be accepted. Of a longer queue at a busy
+// server only callers that have given up would be served.
+const maxBacklog = 256
+
+// setBacklog sets the length of a listener's queue.
+func setBacklog(l net.Listener, n int) error {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	if err := raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), n) }); err != nil {
+		return err
+	}
+	return listenErr
 }
 
 // Conns returns how many connections are open.
@@ -150,7 +179,7 @@
 // Bounds of the pauses between accepts while the process is short of processor time.
 const (
 	busyPause    = 5 * time.Millisecond
-	maxBusyPause = 50 * time.Millisecond
+	maxBusyPause = 10 * time.Millisecond
 )
 
 // awaitTime delays the next accept while Config.Busy says so. Connections that are open get
