Tests: an entry that shuts down accepts what waits at its listener

Evidence: accepts are paced while an entry is short of processor time; without an exception for the shutdown, connections in the listener's queue would be reset when it is closed, under load in particular. The table covers lag and draining together; go test ./role/proxy passes.

--- a/role/proxy/conn_test.go
+++ b/role/proxy/conn_test.go
@@ -125,3 +125,26 @@
 		})
 	}
 }
+
+// Connections that wait at the listener are accepted while their answers can still be given.
+func TestBusyEntryThatShutsDownAcceptsAll(t *testing.T) {
+	cases := map[string]struct {
+		lag            time.Duration
+		draining, busy bool
+	}{
+		"with time":               {lagBusy, false, false},
+		"short of time":           {lagBusy + time.Millisecond, false, true},
+		"short of time, draining": {time.Minute, true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRole()
+			r.lag.epoch = time.Now()
+			r.lag.highWater.Store(int64(c.lag))
+			r.draining.Store(c.draining)
+			if got := r.isBusy(); got != c.busy {
+				t.Errorf("isBusy: got %v, want %v", got, c.busy)
+			}
+		})
+	}
+}
