Count connections whose callers had left; log when a quorum is lost and back

Logs could not tell whether an entry that accepts hundreds of connections a second accepts callers who still wait, nor when a control instance has no quorum after a restart of all. No decision changed.

--- a/link/httpd/conn.go
+++ b/link/httpd/conn.go
@@ -71,18 +71,42 @@
 // serve answers requests until the connection ends.
 func (c *conn) serve() {
 	defer c.close()
-	for c.awaitRequest() {
+	for first := true; c.awaitRequest(); first = false {
 		req, err := c.readHead()
 		if err != nil {
 			c.rejectRequest(err)
 			return
 		}
+		if first && c.server.isBusy() && c.hasLeft(req) {
+			c.server.abandonedN.Add(1)
+		}
 		if !c.serveRequest(req) {
 			return
 		}
 	}
 }
 
+// hasLeft reports whether the caller has closed the connection behind the request. It
+// can't tell while a part of the body was not read.
+func (c *conn) hasLeft(req *http.Request) bool {
+	if req.ContentLength < 0 || int64(c.br.Buffered()) < req.ContentLength {
+		return false
+	}
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	state := callerOpen
+	if err := raw.Control(func(fd uintptr) { state = checkCaller(fd) }); err != nil {
+		return true
+	}
+	return state == callerClosed
+}
+
 // awaitRequest waits for the first byte of a request; it returns false if the
 // connection must be closed.
 func (c *conn) awaitRequest() bool {
--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -73,6 +73,7 @@
 	idleWorkers atomic.Int64  // Workers that wait for a connection.
 	acceptedN   atomic.Int64  // Connections accepted since the start.
 	failedN     atomic.Int64  // Failed accepts since the start.
+	abandonedN  atomic.Int64  // Connections that callers had closed before their first request was served.
 	closing     atomic.Bool
 	quit        chan struct{} // Closed by Shutdown; ends idle workers.
 
@@ -143,6 +144,10 @@
 // of file descriptors.
 func (s *Server) AcceptFailures() int64 { return s.failedN.Load() }
 
+// Abandoned returns how many connections since the start were accepted when their callers
+// had closed them already, as far as seen: of those with a request, only while busy.
+func (s *Server) Abandoned() int64 { return s.abandonedN.Load() }
+
 // Bounds of the back-off after a failed accept, for example for lack of file descriptors.
 const minAcceptBackoff, maxAcceptBackoff = 5 * time.Millisecond, time.Second
 
@@ -185,14 +190,13 @@
 // awaitTime delays the next accept while Config.Busy says so. Connections that are open get
 // the processor first; callers that aren't accepted within a second go elsewhere.
 func (s *Server) awaitTime() {
-	if s.cfg.Busy == nil {
-		return
-	}
-	for waited := time.Duration(0); waited < maxBusyPause && !s.closing.Load() && s.cfg.Busy(); waited += busyPause {
+	for waited := time.Duration(0); waited < maxBusyPause && !s.closing.Load() && s.isBusy(); waited += busyPause {
 		time.Sleep(busyPause)
 	}
 }
 
+func (s *Server) isBusy() bool { return s.cfg.Busy != nil && s.cfg.Busy() }
+
 // dispatchConn hands a connection to an idle worker, or to a new one.
 func (s *Server) dispatchConn(c net.Conn) {
 	select {
--- a/role/ctrl/export_test.go
+++ b/role/ctrl/export_test.go
@@ -28,3 +28,21 @@
 	step, _ := planMembers(s, memberPolicy{lostAfter: lostAfter, tolerated: tolerated})
 	return step.action, step.instance
 }
+
+// QuorumWatch exports quorumWatch.
+type QuorumWatch struct{ w quorumWatch }
+
+// NewQuorumWatch returns the watch of an instance that starts now.
+func NewQuorumWatch(now time.Time) *QuorumWatch {
+	return &QuorumWatch{w: quorumWatch{confirmedAt: now, lost: true}}
+}
+
+// RecordFailure reports whether the loss is to be logged.
+func (q *QuorumWatch) RecordFailure(now time.Time, maxAge time.Duration) bool {
+	return q.w.recordFailure(now, maxAge)
+}
+
+// RecordSuccess reports whether a quorum is back.
+func (q *QuorumWatch) RecordSuccess(now time.Time) (time.Duration, bool) {
+	return q.w.recordSuccess(now)
+}
--- a/role/ctrl/push.go
+++ b/role/ctrl/push.go
@@ -99,14 +99,21 @@
 // confirmLoop sends nodes a periodic confirmation that this instance reaches a quorum.
 // Nodes that receive none switch to another control instance.
 func (r *Role) confirmLoop(ctx context.Context) error {
+	q := quorumWatch{confirmedAt: r.clock.Now(), lost: true}
 	for sleep(ctx, r.cfg.ConfirmInterval) {
 		readCtx, cancel := context.WithTimeout(ctx, 2*r.cfg.ConfirmInterval)
 		err := r.host.ReadBarrier(readCtx)
 		cancel()
 		if err != nil {
-			r.log.Debug("no quorum", "err", err)
+			if now := r.clock.Now(); q.recordFailure(now, r.cfg.MaxQuorumAge) {
+				r.logNoQuorum(now, &q, err)
+			}
 			continue
 		}
+		now := r.clock.Now()
+		if gap, back := q.recordSuccess(now); back {
+			r.log.Info("a quorum answers", "after", gap.Round(time.Millisecond))
+		}
 		r.recordConfirmed()
 		r.pushUpdates(true)
 	}
