--- a/role/proxy/metrics.go
+++ b/role/proxy/metrics.go
@@ -44,7 +44,7 @@
 	return &requestMetrics{
 		scope: scope, waiting: scope.Gauge("waiting"), running: scope.Gauge("running"), held: scope.Gauge("held_bytes"),
 		conns: scope.Gauge("caller_connections"), lag: scope.Gauge("lag_seconds"), shed: scope.Gauge("shed_requests"), failed: scope.Gauge("failed_accepts"),
-		left: scope.Gauge("abandoned_connections"),
+		left:   scope.Gauge("abandoned_connections"),
 		blocks: scope.Gauge("quarantined_blocks"), limited: scope.Gauge("rate_limited_upstreams"), poison: scope.Gauge("quarantined_requests"),
 		fetches: scope.Gauge("prefix_fetches"),
 		cold:    scope.Gauge("cold_upstreams"), owned: scope.Gauge("owned_cold_upstreams"), sent: scope.Gauge("cold_requests"),
