Busy entries turn waiting callers away at once

It accepted one connection in 10 ms, first come, first served, out of a queue of 256, so that the wait was longer than callers try; each connection that it accepted was dead, and cost it the time that kept it short.

While it is busy, a server now drains the listener's queue each 5 ms, for a quarter of the time at most, and answers those callers 503 with Retry-After without parsing the request. 128 may wait in place of 256, which is under 200 ms at the 700 a second that an entry of 0.144 core turns away.

--- a/link/httpd/conn.go
+++ b/link/httpd/conn.go
@@ -71,7 +71,13 @@
 // serve answers requests until the connection ends.
 func (c *conn) serve() {
 	defer c.close()
-	for first := true; c.awaitRequest(); first = false {
+	for first := true; ; first = false {
+		if !c.awaitRequest() {
+			if first {
+				c.server.abandonedN.Add(1)
+			}
+			return
+		}
 		req, err := c.readHead()
 		if err != nil {
 			c.rejectRequest(err)
--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -35,7 +35,10 @@
 	MaxHeadBytes  int64         // Maximum size of a request's head; a few KiB more may pass, because reads are buffered.
 	MaxDrainBytes int64         // Limit on the unread body bytes that are discarded to keep the connection open.
 	MaxPending    int           // Accepted connections that no worker has started to serve; further ones stay in the listener's queue.
-	Busy          func() bool   // Whether the process is so short of processor time that accepts are delayed; nil for never.
+	Busy          func() bool   // Whether the process is so short of processor time that few connections are served; nil for never.
+
+	// RetryAfter returns when a caller that is turned away may try again; nil for no statement.
+	RetryAfter func() time.Duration
 }
 
 // Defaults sets the fields that are zero.
@@ -73,9 +76,11 @@
 	idleWorkers atomic.Int64  // Workers that wait for a connection.
 	acceptedN   atomic.Int64  // Connections accepted since the start.
 	failedN     atomic.Int64  // Failed accepts since the start.
+	turnedN     atomic.Int64  // Connections turned away since the start.
 	abandonedN  atomic.Int64  // Connections that callers had closed before their first request was served.
 	closing     atomic.Bool
 	quit        chan struct{} // Closed by Shutdown; ends idle workers.
+	discarded   []byte        // What is read of requests that are turned away; used by Serve.
 
 	mu         sync.Mutex
 	listeners  []net.Listener
@@ -92,6 +97,7 @@
 	return &Server{
 		cfg: cfg, handler: handler, log: logger, accepted: make(chan net.Conn), quit: make(chan struct{}),
 		conns: make(map[*conn]struct{}), connClosed: make(chan struct{}, 1), pending: make(chan struct{}, cfg.MaxPending),
+		discarded: make([]byte, bufferBytes),
 	}, nil
 }
 
@@ -109,9 +115,9 @@
 	return l, nil
 }
 
-// maxBacklog bounds the connections that wait to be accepted. Of a longer queue at a busy
-// server only callers that have given up would be served.
-const maxBacklog = 256
+// maxBacklog bounds the connections that wait to be accepted. A busy server turns away about
+// 1,000 a second, so that none waits longer than callers do.
+const maxBacklog = 128
 
 // setBacklog sets the length of a listener's queue.
 func setBacklog(l net.Listener, n int) error {
@@ -144,8 +150,9 @@
 // of file descriptors.
 func (s *Server) AcceptFailures() int64 { return s.failedN.Load() }
 
-// Abandoned returns how many connections since the start were accepted when their callers
-// had closed them already, as far as seen: of those with a request, only while busy.
+// Abandoned returns how many connections since the start ended without a request, or were
+// closed by their callers before their first request was served. The latter are seen only
+// while the server is busy.
 func (s *Server) Abandoned() int64 { return s.abandonedN.Load() }
 
 // Bounds of the back-off after a failed accept, for example for lack of file descriptors.
@@ -159,7 +166,7 @@
 	s.mu.Unlock()
 	backoff := time.Duration(0)
 	for {
-		s.awaitTime()
+		s.awaitTime(l)
 		c, err := l.Accept()
 		var netErr net.Error
 		switch {
@@ -181,22 +188,6 @@
 	}
 }
 
-// Bounds of the pauses between accepts while the process is short of processor time.
-const (
-	busyPause    = 5 * time.Millisecond
-	maxBusyPause = 10 * time.Millisecond
-)
-
-// awaitTime delays the next accept while Config.Busy says so. Connections that are open get
-// the processor first; callers that aren't accepted within a second go elsewhere.
-func (s *Server) awaitTime() {
-	for waited := time.Duration(0); waited < maxBusyPause && !s.closing.Load() && s.isBusy(); waited += busyPause {
-		time.Sleep(busyPause)
-	}
-}
-
-func (s *Server) isBusy() bool { return s.cfg.Busy != nil && s.cfg.Busy() }
-
 // dispatchConn hands a connection to an idle worker, or to a new one.
 func (s *Server) dispatchConn(c net.Conn) {
 	select {
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -146,7 +146,7 @@
 	}
 	r.requestMetrics = newRequestMetrics(r.metrics.Scope())
 	var err error
-	if r.server, err = httpd.New(httpd.Config{Busy: r.isBusy}, r.serve, logger); err != nil {
+	if r.server, err = httpd.New(httpd.Config{Busy: r.isBusy, RetryAfter: r.turnedAwayRetryAfter}, r.serve, logger); err != nil {
 		cancel()
 		return nil, trace.Wrap(err, "Open")
 	}
--- a/role/proxy/shed.go
+++ b/role/proxy/shed.go
@@ -45,10 +45,18 @@
 	return time.Duration(lag)
 }
 
-// isBusy reports whether the entry is so short of processor time that new connections wait
-// in the listener's queue. Those that are there when it shuts down are accepted before it ends.
+// isBusy reports whether the entry is so short of processor time that it serves few new
+// connections and turns the others away. Those that are there when it shuts down are accepted before it ends.
 func (r *Role) isBusy() bool { return !r.draining.Load() && r.lag.value(r.clock.Now()) > lagBusy }
 
+// turnedAwayRetryAfter returns the Retry-After of a caller whose request is not read. Its
+// workspace is not known, and other entries may have room.
+func (r *Role) turnedAwayRetryAfter() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.randomDuration(minFullRetryAfter, maxFullRetryAfter)
+}
+
 // lagLoop measures the lag.
 func (r *Role) lagLoop(ctx context.Context) error {
 	for sleep(ctx, lagInterval) {
