Busy entries empty the queue of waiting callers

The share now grows while no pass empties the queue, to three quarters of the time at most, and falls back once one does.

--- a/link/httpd/busy.go
+++ b/link/httpd/busy.go
@@ -14,25 +14,59 @@
 const (
 	busyPause    = 5 * time.Millisecond
 	maxBusyPause = 10 * time.Millisecond
-	// turnAwayShare is the share of a pause in which callers are turned away. Requests that
-	// are being served have the rest.
-	turnAwayShare = 0.25
+	// minTurnAwayShare and maxTurnAwayShare bound the share of a pause in which callers are
+	// turned away. Requests that are being served have the rest.
+	minTurnAwayShare, maxTurnAwayShare = 0.25, 0.75
+	// maxQueueAge is how long callers may be left in the listener's queue by each pass
+	// before the share has doubled.
+	maxQueueAge = 100 * time.Millisecond
 )
 
+// queueWatch decides how much time to spend on the callers in the listener's queue. Its
+// length is not known, nor how long a caller has waited; whether a pass emptied it is. If
+// none does, callers are turned away as fast as others come, and all have waited for as
+// long as the first ones: too long, once a crowd has filled the queue.
+type queueWatch struct {
+	leftSince time.Time // Since when each pass has left callers in the queue; zero if the last one emptied it.
+}
+
+// budget returns how much of a pause the next pass may take.
+func (q *queueWatch) budget(now time.Time, pause time.Duration) time.Duration {
+	share := minTurnAwayShare
+	if !q.leftSince.IsZero() {
+		share = min(maxTurnAwayShare, share*(1+float64(now.Sub(q.leftSince))/float64(maxQueueAge)))
+	}
+	return time.Duration(share * float64(pause))
+}
+
+// recordEmpty records that a pass emptied the queue, or that accepts are not delayed.
+func (q *queueWatch) recordEmpty() { q.leftSince = time.Time{} }
+
+// recordLeft records that a pass left callers in the queue.
+func (q *queueWatch) recordLeft(now time.Time) {
+	if q.leftSince.IsZero() {
+		q.leftSince = now
+	}
+}
+
 // awaitTime delays the next accept while Config.Busy says so: connections that are open get
 // the processor first. The callers that can't be served meanwhile are turned away at once.
 // If they waited, all that are accepted later would have given up.
-func (s *Server) awaitTime(l net.Listener) {
+func (s *Server) awaitTime(l net.Listener, q *queueWatch) {
+	if !s.isBusy() {
+		q.recordEmpty()
+		return
+	}
 	for waited := time.Duration(0); waited < maxBusyPause && !s.closing.Load() && s.isBusy(); waited += busyPause {
 		time.Sleep(busyPause)
-		s.turnAwayWaiting(l, time.Now().Add(time.Duration(turnAwayShare*float64(busyPause))))
+		s.turnAwayWaiting(time.Now(), l, q)
 	}
 }
 
 func (s *Server) isBusy() bool { return s.cfg.Busy != nil && s.cfg.Busy() }
 
-// turnAwayWaiting turns away the callers in the listener's queue until a time.
-func (s *Server) turnAwayWaiting(l net.Listener, until time.Time) {
+// turnAwayWaiting turns away the callers in the listener's queue, as far as the budget allows.
+func (s *Server) turnAwayWaiting(now time.Time, l net.Listener, q *queueWatch) {
 	sc, ok := l.(syscall.Conn)
 	if !ok {
 		return
@@ -41,13 +75,15 @@
 	if err != nil {
 		return
 	}
-	for s.isBusy() && time.Now().Before(until) {
+	for until := now.Add(q.budget(now, busyPause)); s.isBusy() && time.Now().Before(until); {
 		fd, ok := acceptNow(raw)
 		if !ok {
+			q.recordEmpty()
 			return
 		}
 		s.turnAway(fd)
 	}
+	q.recordLeft(now)
 }
 
 // acceptNow accepts a connection without blocking; false means that there is none, or
--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -115,8 +115,8 @@
 	return l, nil
 }
 
-// maxBacklog bounds the connections that wait to be accepted. A busy server turns away about
-// 1,000 a second, so that none waits longer than callers do.
+// maxBacklog bounds the connections that wait to be accepted, as far as the system keeps
+// to it; see queueWatch.
 const maxBacklog = 128
 
 // setBacklog sets the length of a listener's queue.
@@ -164,9 +164,9 @@
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
 	s.mu.Unlock()
-	backoff := time.Duration(0)
+	backoff, queue := time.Duration(0), &queueWatch{}
 	for {
-		s.awaitTime(l)
+		s.awaitTime(l, queue)
 		c, err := l.Accept()
 		var netErr net.Error
 		switch {
