Spec: workspaces get their parts while entries restart

The model of planners gains restarts: callers reach another entry for half a second, requests that have not begun are lost, and the new planner knows nothing.

--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -23,7 +23,8 @@
 // fleetModel is a fleet of planners that exchange reports and share engines, at a
 // simulated time. Callers that are refused return once.
 type fleetModel struct {
-	entries        []*place.Planner
+	entries        []*place.Planner // Nil while an entry is down.
+	newPlanner     func() *place.Planner
 	callers        []callers
 	reportInterval time.Duration
 	moved          func(t time.Duration, entry int) int  // The entry that a request reaches instead; nil for no change.
@@ -50,6 +51,7 @@
 	modelPrefill    = 55 // Tokens/ms that an engine prefills.
 	modelStream     = 400 * time.Millisecond
 	modelObjective  = time.Second
+	restartTime     = 500 * time.Millisecond
 	modelShared     = 2000
 	modelMeanOwn    = 4000
 	modelOutput     = 200
@@ -63,10 +65,13 @@
 		rnd: rand.New(rand.NewSource(1)), now: start, reportInterval: 50 * time.Millisecond * time.Duration(max(1, (entries-1)/4)),
 		idleAt: make(map[cleat.UpstreamID]time.Time), timeline: make(map[int64][]func()),
 	}
-	for range entries {
+	m.newPlanner = func() *place.Planner {
 		p := newRig(engines, 0, tokensPerSec).Planner
 		p.SetPeers(entries-1, m.reportInterval)
-		m.entries = append(m.entries, p)
+		return p
+	}
+	for range entries {
+		m.entries = append(m.entries, m.newPlanner())
 	}
 	return m
 }
@@ -107,7 +112,7 @@
 		}
 		m.exchangeReports()
 		for i, p := range m.entries {
-			if p.Waiting() > 0 {
+			if p != nil && p.Waiting() > 0 {
 				for _, v := range p.Dispatch(m.now) {
 					m.deliver(i, v)
 				}
@@ -117,15 +122,27 @@
 	}
 }
 
+// restart kills entries and starts them again after restartTime. Their callers reach the
+// next entries meanwhile, and requests that have not begun are lost.
+func (m *fleetModel) restart(entries ...int) {
+	for _, i := range entries {
+		m.entries[i] = nil
+		m.after(restartTime, func() { m.entries[i] = m.newPlanner() })
+	}
+}
+
 func (m *fleetModel) exchangeReports() {
 	for i, p := range m.entries {
+		if p == nil {
+			continue
+		}
 		phase := m.reportInterval * time.Duration(i) / time.Duration(len(m.entries))
 		if (m.elapsed()+phase)%m.reportInterval >= modelStep || (m.silent != nil && m.silent(m.elapsed(), i)) {
 			continue
 		}
 		r := p.Report(m.now)
 		for k, q := range m.entries {
-			if k != i {
+			if k != i && q != nil {
 				q.ApplyReport(m.now, cleat.InstanceID(fmt.Sprint(i)), r)
 			}
 		}
@@ -146,6 +163,9 @@
 	if m.moved != nil {
 		entry = m.moved(m.elapsed(), entry)
 	}
+	for m.entries[entry] == nil {
+		entry = (entry + 1) % len(m.entries)
+	}
 	again := *j
 	m.lastID++
 	j.ID, j.Arrived, j.Target, j.Deadline = m.lastID, m.now, m.now.Add(modelObjective), m.now.Add(12*time.Second)
@@ -176,6 +196,9 @@
 	first := max(0, m.idleAt[id].Sub(m.now)) + prefill
 	m.idleAt[id] = m.now.Add(first)
 	m.after(first+modelStep, func() {
+		if m.entries[entry] != p {
+			return
+		}
 		m.count(v.Job.Workspace).got += v.Job.PromptTokens + 2*v.Job.OutputTokens
 		p.RecordFirstEvent(m.now, v.Job)
 		m.after(modelStream, func() { p.RecordEnd(m.now, v.Job, place.OutcomeServed) })
@@ -292,6 +315,30 @@
 		Expect(m.starved()).To(BeEmpty())
 	})
 
+	// FAIR on lade-auctions-grown: each start of an entry gave the workspaces behind it the
+	// whole capacity until it had heard of the others' usage.
+	for name, restarts := range map[string]struct {
+		times   int
+		every   time.Duration
+		entries []int
+	}{
+		"while another one's entry restarts again and again": {6, 900 * time.Millisecond, []int{3}},
+		"while most entries restart at once, twice":          {2, 2 * time.Second, overloadedFleet().all()[:17]},
+	} {
+		It("give workspaces behind two entries each their part "+name, func() {
+			m := overloadedFleet()
+			for i := range 4 {
+				w := cleat.WorkspaceID(fmt.Sprintf("few-%d", i))
+				m.callers = append(m.callers, callers{w, []int{12 + 2*i, 13 + 2*i}, 700_000 / meanCost})
+			}
+			for i := range restarts.times {
+				m.after(6*time.Second+time.Duration(i)*restarts.every, func() { m.restart(restarts.entries...) })
+			}
+			m.run(16 * time.Second)
+			Expect(m.starved()).To(BeEmpty())
+		})
+	}
+
 	It("refuse nothing while the capacity covers what is requested", func() {
 		m := overloadedFleet()
 		for i := range m.callers {
