--- a/policy/place/limit.go
+++ b/policy/place/limit.go
@@ -25,7 +25,10 @@
 func (p *Planner) RateLimited() int { return p.limits.Limited() }
 
 // SetMembers sets how many other entries the fleet has, in touch or not.
-func (p *Planner) SetMembers(n int) { p.limits.SetMembers(n) }
+func (p *Planner) SetMembers(n int) {
+	p.joining.members, p.joining.known = n, true
+	p.limits.SetMembers(n)
+}
 
 // candidate is an upstream that could take a job.
 type candidate struct {
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -61,6 +61,7 @@
 	jobs           map[uint64]*Job // Sent and not ended.
 	waiting        []*Job          // In order of arrival.
 	usage          usageTable
+	joining        joining
 	refusals       refusalHistory
 	bestStreamRate map[cleat.ServiceName]float64 // The best token rate of streams seen recently, in tokens/s.
 	peers          map[cleat.InstanceID]*peer
@@ -177,6 +178,7 @@
 	}
 	v, decided := p.decide(now, j)
 	if decided && !v.Placed() {
+		p.usage.countRefused(now, j, v.Reason)
 		j.refund()
 		p.refusals.record(now, j)
 	}
@@ -286,6 +288,7 @@
 	for _, j := range p.dispatchOrder(now) {
 		p.updateSpeeds(now, j.Service)
 		if v, refused := p.refuseUnplaceable(now, j); refused {
+			p.usage.countRefused(now, j, v.Reason)
 			j.refund()
 			verdicts = append(verdicts, v)
 			continue
@@ -303,6 +306,7 @@
 			loads[j.Service] = l
 		}
 		if v, refused := p.checkOverload(now, j, l, ahead[j.Service]); refused {
+			p.usage.countRefused(now, j, v.Reason)
 			j.refund()
 			p.refusals.record(now, j)
 			verdicts = append(verdicts, v)
@@ -359,6 +363,9 @@
 	u.addJob(now, j)
 	p.jobs[j.ID] = j
 	p.usage.addAdmitted(now, j.Workspace, j.costUnits())
+	if p.joining.check(now, p.livePeers(now)) {
+		p.joining.admitted += j.costUnits()
+	}
 	return Verdict{Job: j, Upstream: u.record, FetchFrom: fetchFrom, PrefillTokens: j.prefill, ExpectedOutput: int(j.output.remaining), BacklogTokens: j.backlogAhead}
 }
 
--- a/policy/place/share_usage.go
+++ b/policy/place/share_usage.go
@@ -17,6 +17,12 @@
 	RequestedElsewhere, AdmittedElsewhere int           // At other entries, by their last reports.
 	Rate, Credit                          float64       // At which this entry admits, in units per second, and what it may admit now.
 	ReportAge                             time.Duration // Age of the oldest report that counts.
+	Refused                               RefusalCounts
+}
+
+// RefusalCounts are the refusals of a workspace's jobs at one entry since its start.
+type RefusalCounts struct {
+	OverShare, Overload, LateRetry, Other int
 }
 
 // usage returns the use of a workspace, without ReportAge.
@@ -25,7 +31,7 @@
 	return ShareUsage{
 		Workspace: w, Share: u.share(now), Requested: u.demand(now, r), Admitted: sum(r.admitted), Started: sum(r.started),
 		RequestedElsewhere: r.peers.requested, AdmittedElsewhere: r.peers.admitted,
-		Rate: u.localRate(now, r), Credit: r.credit.units,
+		Rate: u.localRate(now, r), Credit: r.credit.units, Refused: r.refused,
 	}
 }
 
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -48,6 +48,7 @@
 	overSince                    time.Time // Since when its demand has exceeded its share; zero while it doesn't.
 	credit                       credit    // Within the workspace's share.
 	spareCredit                  credit    // Beyond the share, at engines with spare time.
+	refused                      RefusalCounts
 }
 
 func (u *workspaceUsage) advance(bucket int64) {
@@ -124,6 +125,21 @@
 	r.admitted[r.newest%windowBuckets] += units
 }
 
+// countRefused counts a refused job by its reason.
+func (u *usageTable) countRefused(now time.Time, j *Job, r Reason) {
+	c := &u.row(now, j.Workspace).refused
+	switch r {
+	case ReasonOverShare:
+		c.OverShare++
+	case ReasonOverload:
+		c.Overload++
+	case ReasonLateRetry:
+		c.LateRetry++
+	default:
+		c.Other++
+	}
+}
+
 func (u *usageTable) addStarted(now time.Time, w cleat.WorkspaceID, units int) {
 	r := u.row(now, w)
 	r.started[r.newest%windowBuckets] += units
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -151,7 +151,7 @@
 // sweepLoop updates the gauges, closes expired idle connections and drops the reports
 // of unresponsive entries.
 func (r *Role) sweepLoop(ctx context.Context) error {
-	sweptStreams := r.clock.Now()
+	sweptStreams, joined := r.clock.Now(), false
 	for sleep(ctx, sweepInterval) {
 		now := r.clock.Now()
 		r.mu.Lock()
@@ -161,6 +161,10 @@
 			sweptStreams = now
 			r.streams.Tick(now)
 		}
+		if j, ok := r.planner.Joined(now); ok && !joined {
+			joined = true
+			r.log.Info("joined", "took", j.Took.Round(time.Millisecond), "members", j.Members, "heard", j.Heard, "admitted_before", j.Admitted)
+		}
 		r.recordContact()
 		r.requestMetrics.updateGauges(r)
 		pools := make([]*pool, 0, len(r.pools))
