Take an entry's reports after its restart

An entry that restarts under its name counts its reports from 1. A link that comes up now begins the count anew. The new spec fails without it: 300 where 700 was expected.

--- a/policy/place/planner_test.go
+++ b/policy/place/planner_test.go
@@ -371,6 +371,20 @@
 		}}))
 	})
 
+	// An entry that restarted counts its reports anew: they were dropped for two seconds.
+	It("takes an entry's reports after its restart", func() {
+		r := newRig(2, 0, 1000)
+		report := func(seq uint64, requested uint32) *cleat.PlacementReport {
+			return &cleat.PlacementReport{Seq: seq, Usage: []cleat.WorkspaceUsage{{Workspace: "w", RequestedTokens: requested}}}
+		}
+		r.ApplyReport(r.now, "other", report(9, 300))
+		r.ApplyReport(r.now, "other", report(1, 500))
+		Expect(r.ShareUsage(r.now, "w").RequestedElsewhere).To(Equal(300))
+		r.RecordLinked("other")
+		r.ApplyReport(r.now, "other", report(1, 700))
+		Expect(r.ShareUsage(r.now, "w").RequestedElsewhere).To(Equal(700))
+	})
+
 	It("drops an entry's report once the entry has timed out", func() {
 		r := newRig(0, 1, 0)
 		full := &cleat.PlacementReport{Seq: 1, Loads: []cleat.UpstreamLoad{{Upstream: "d0", Running: 50}}}
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -27,6 +27,14 @@
 	return m
 }
 
+// RecordLinked records that a link to another entry has come up. That entry may have
+// restarted, and counts its reports anew then.
+func (p *Planner) RecordLinked(entry cleat.InstanceID) {
+	if q, ok := p.peers[entry]; ok {
+		q.seq = 0
+	}
+}
+
 // SetPeers sets from how many other entries reports come, and the time within which all
 // of them have reported a new demand.
 func (p *Planner) SetPeers(n int, delay time.Duration) {
--- a/role/proxy/mesh.go
+++ b/role/proxy/mesh.go
@@ -32,6 +32,7 @@
 	r.log.Info("link to an entry up", "entry", l.Peer().Instance)
 	r.handleLookupLink(l, true)
 	now := r.clock.Now()
+	r.planner.RecordLinked(l.Peer().Instance)
 	m := r.poison.Complete(now)
 	if m == nil {
 		m = &cleat.CrashReport{}
