Entries that start divide a part of the capacity until they hear from others

Cause: an allowance that follows from what is known of the others is whole while nothing is known. An entry that starts computed an infinite share at its first request, reused it for 50 ms, and admitted what came until reports arrived.

An entry now divides twice an equal part of the capacity among the workspaces that come to it, until it has heard from a third of the others, a second at most. Entries send usage and load as soon as a link comes up, control sends the members at registration, before the manifest. The share is computed again when as much has been requested as engines serve while it is reused. Credits begin with a debt, which differs between entries: 17 that start together gave one workspace 17 requests at once. Others whose reports tell of new demand are no longer assumed to have a third of it.

--- a/placement.go
+++ b/placement.go
@@ -53,6 +53,7 @@
 	Limits       []UpstreamLimit  `msgpack:"m,omitempty"` // Its strings are not interned: entries of an earlier version skip it.
 	Cold         []ColdUpstream   `msgpack:"c,omitempty"` // As Limits.
 	Leaving      bool             `msgpack:"x,omitempty"` // The sender shuts down and gets no further requests.
+	Partial      bool             `msgpack:"i,omitempty"` // Sent when a link has come up: Loads, Usage and Outputs alone.
 }
 
 // ColdUpstream tells another entry what the sender observed itself about an upstream that may be cold.
--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -24,7 +24,7 @@
 // simulated time. Callers that are refused return once.
 type fleetModel struct {
 	entries        []*place.Planner // Nil while an entry is down.
-	newPlanner     func() *place.Planner
+	newPlanner     func(entry int) *place.Planner
 	callers        []callers
 	reportInterval time.Duration
 	moved          func(t time.Duration, entry int) int  // The entry that a request reaches instead; nil for no change.
@@ -52,6 +52,7 @@
 	modelStream     = 400 * time.Millisecond
 	modelObjective  = time.Second
 	restartTime     = 500 * time.Millisecond
+	linkTime        = 200 * time.Millisecond // Until an entry that has started is linked to all others.
 	modelShared     = 2000
 	modelMeanOwn    = 4000
 	modelOutput     = 200
@@ -65,17 +66,23 @@
 		rnd: rand.New(rand.NewSource(1)), now: start, reportInterval: 50 * time.Millisecond * time.Duration(max(1, (entries-1)/4)),
 		idleAt: make(map[cleat.UpstreamID]time.Time), timeline: make(map[int64][]func()),
 	}
-	m.newPlanner = func() *place.Planner {
-		p := newRig(engines, 0, tokensPerSec).Planner
+	m.newPlanner = func(entry int) *place.Planner {
+		p := newRigOf(entryName(entry), engines, 0, tokensPerSec).Planner
 		p.SetPeers(entries-1, m.reportInterval)
+		p.SetMembers(entries - 1)
 		return p
 	}
-	for range entries {
-		m.entries = append(m.entries, m.newPlanner())
+	for i := range entries {
+		m.entries = append(m.entries, m.newPlanner(i))
+	}
+	for i := range m.entries {
+		m.link(i)
 	}
 	return m
 }
 
+func entryName(i int) cleat.InstanceID { return cleat.InstanceID(fmt.Sprint("entry-", i)) }
+
 func (m *fleetModel) elapsed() time.Duration { return m.now.Sub(start) }
 
 func (m *fleetModel) after(d time.Duration, f func()) {
@@ -127,10 +134,30 @@
 func (m *fleetModel) restart(entries ...int) {
 	for _, i := range entries {
 		m.entries[i] = nil
-		m.after(restartTime, func() { m.entries[i] = m.newPlanner() })
+		m.after(restartTime, func() {
+			m.entries[i] = m.newPlanner(i)
+			m.link(i)
+		})
+	}
+}
+
+// link connects an entry to the others, one after another.
+func (m *fleetModel) link(entry int) {
+	for i := range m.entries {
+		m.after(linkTime*time.Duration(i)/time.Duration(len(m.entries)), func() {
+			if m.entries[i] != nil && m.entries[entry] != nil && i != entry {
+				m.introduce(i, entry)
+				m.introduce(entry, i)
+			}
+		})
 	}
 }
 
+func (m *fleetModel) introduce(from, to int) {
+	m.entries[to].RecordLinked(entryName(from))
+	m.entries[to].ApplyReport(m.now, entryName(from), m.entries[from].Introduction(m.now))
+}
+
 func (m *fleetModel) exchangeReports() {
 	for i, p := range m.entries {
 		if p == nil {
@@ -143,7 +170,7 @@
 		r := p.Report(m.now)
 		for k, q := range m.entries {
 			if k != i && q != nil {
-				q.ApplyReport(m.now, cleat.InstanceID(fmt.Sprint(i)), r)
+				q.ApplyReport(m.now, entryName(i), r)
 			}
 		}
 	}
--- a/policy/place/limit.go
+++ b/policy/place/limit.go
@@ -26,7 +26,7 @@
 
 // SetMembers sets how many other entries the fleet has, in touch or not.
 func (p *Planner) SetMembers(n int) {
-	p.joining.members, p.joining.known = n, true
+	p.usage.joining.setMembers(n)
 	p.limits.SetMembers(n)
 }
 
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -61,7 +61,6 @@
 	jobs           map[uint64]*Job // Sent and not ended.
 	waiting        []*Job          // In order of arrival.
 	usage          usageTable
-	joining        joining
 	refusals       refusalHistory
 	bestStreamRate map[cleat.ServiceName]float64 // The best token rate of streams seen recently, in tokens/s.
 	peers          map[cleat.InstanceID]*peer
@@ -87,7 +86,7 @@
 		services:       make(map[cleat.ServiceName][]*upstream),
 		engines:        make(map[cleat.ServiceName]*cleat.ModelEngine),
 		jobs:           make(map[uint64]*Job),
-		usage:          newUsageTable(cfg.UsageWindow),
+		usage:          newUsageTable(cfg.Self, cfg.UsageWindow),
 		refusals:       newRefusalHistory(),
 		bestStreamRate: make(map[cleat.ServiceName]float64),
 		peers:          make(map[cleat.InstanceID]*peer),
@@ -171,6 +170,7 @@
 // Submit decides on a new job, or on one that is to be retried at another upstream;
 // it returns its verdict, or false when the job waits.
 func (p *Planner) Submit(now time.Time, j *Job) (Verdict, bool) {
+	p.updateJoining(now)
 	if len(j.Tried) == 0 {
 		p.countRequest(now, j)
 		p.countPrompt(j)
@@ -230,18 +230,18 @@
 		return Verdict{}, false
 	}
 	if len(j.Tried) > 0 || j.Version != "" { // A job that was admitted keeps its admission when it is retried or its stream is resumed.
-		c, _ := p.usage.withinShare(now, j.Workspace)
+		c, _ := p.usage.withinShare(now, j)
 		j.charge(c)
 		return Verdict{}, false
 	}
 	if j.isRetry && p.usage.isOversubscribed(now, j.Workspace) && p.isLate(now, j) {
 		return Verdict{Job: j, Reason: ReasonLateRetry, RetryAfter: p.shareRetryAfter(now, j)}, true
 	}
-	if c, ok := p.usage.withinShare(now, j.Workspace); ok {
+	if c, ok := p.usage.withinShare(now, j); ok {
 		j.charge(c)
 		return Verdict{}, false
 	}
-	if c, ok := p.usage.withinSpare(now, j.Workspace); ok && !p.isBehindQueue(j) {
+	if c, ok := p.usage.withinSpare(now, j); ok && !p.isBehindQueue(j) {
 		if u := p.chooseUpstream(now, j); u != nil && u.prefillUtilization(now, 0) <= maxOverShareUtilization {
 			j.charge(c)
 			return p.assign(now, j, u), true
@@ -363,15 +363,13 @@
 	u.addJob(now, j)
 	p.jobs[j.ID] = j
 	p.usage.addAdmitted(now, j.Workspace, j.costUnits())
-	if p.joining.check(now, p.livePeers(now)) {
-		p.joining.admitted += j.costUnits()
-	}
 	return Verdict{Job: j, Upstream: u.record, FetchFrom: fetchFrom, PrefillTokens: j.prefill, ExpectedOutput: int(j.output.remaining), BacklogTokens: j.backlogAhead}
 }
 
 // ExpirePeers drops the reports of other entries that have timed out.
 func (p *Planner) ExpirePeers(now time.Time) {
 	p.expirePeers(now)
+	p.updateJoining(now)
 	p.limits.Expire(now)
 }
 
--- a/policy/place/planner_test.go
+++ b/policy/place/planner_test.go
@@ -27,7 +27,11 @@
 }
 
 func newRig(engines, plain int, tokensPerSec float64) *rig {
-	r := &rig{Planner: place.New(place.Config{Domain: "a"}), now: start}
+	return newRigOf("", engines, plain, tokensPerSec)
+}
+
+func newRigOf(self cleat.InstanceID, engines, plain int, tokensPerSec float64) *rig {
+	r := &rig{Planner: place.New(place.Config{Self: self, Domain: "a"}), now: start}
 	for i := range engines {
 		r.records = append(r.records, upstream(fmt.Sprintf("m%d", i), modelService, 64))
 	}
@@ -385,6 +389,18 @@
 		Expect(r.ShareUsage(r.now, "w").RequestedElsewhere).To(Equal(700))
 	})
 
+	It("tells an entry to which a link comes up its usage and load at once", func() {
+		a, b := newRig(2, 0, 1000), newRig(2, 0, 1000)
+		v := a.submit(a.prompt("w", 1, 0, 5000, 50))
+		Expect(v.Placed()).To(BeTrue())
+		b.SetMembers(1)
+		b.ApplyReport(b.now, "a", a.Introduction(a.now))
+		_, joined := b.Joined()
+		Expect(joined).To(BeTrue())
+		Expect(b.ShareUsage(b.now, "w").AdmittedElsewhere).To(Equal(5100))
+		Expect(b.submit(b.prompt("w", 1, 0, 500, 50)).Upstream.Upstream).NotTo(Equal(v.Upstream.Upstream))
+	})
+
 	It("drops an entry's report once the entry has timed out", func() {
 		r := newRig(0, 1, 0)
 		full := &cleat.PlacementReport{Seq: 1, Loads: []cleat.UpstreamLoad{{Upstream: "d0", Running: 50}}}
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -18,15 +18,35 @@
 		if len(u.jobs) == 0 && recent == 0 && v == nil {
 			continue
 		}
-		m.Loads = append(m.Loads, cleat.UpstreamLoad{
-			Upstream: id, PendingPrefill: uint32(max(0, u.pendingPrefill)), Running: uint32(len(u.jobs)), Memory: uint32(max(0, u.reportedMemory(now))),
-			RecentPrefill: uint32(recent), TokenRate: uint32(u.ownNeededRate(now)), Speed: v,
-		})
+		l := u.load(now, id, recent)
+		l.Speed = v
+		m.Loads = append(m.Loads, l)
 		p.reportOutput(m, u)
 	}
 	return m
 }
 
+// load returns what this entry has placed on an upstream.
+func (u *upstream) load(now time.Time, id cleat.UpstreamID, recent int) cleat.UpstreamLoad {
+	return cleat.UpstreamLoad{
+		Upstream: id, PendingPrefill: uint32(max(0, u.pendingPrefill)), Running: uint32(len(u.jobs)), Memory: uint32(max(0, u.reportedMemory(now))),
+		RecentPrefill: uint32(recent), TokenRate: uint32(u.ownNeededRate(now)),
+	}
+}
+
+// Introduction returns this entry's load and usage for an entry to which a link has come
+// up. The next report holds the rest.
+func (p *Planner) Introduction(now time.Time) *cleat.PlacementReport {
+	m := &cleat.PlacementReport{Seq: p.seq, Partial: true, Usage: p.usage.report(now)}
+	for id, u := range p.upstreams {
+		if recent := u.recentPrefill.sum(now); len(u.jobs) > 0 || recent > 0 {
+			m.Loads = append(m.Loads, u.load(now, id, recent))
+			p.reportOutput(m, u)
+		}
+	}
+	return m
+}
+
 // RecordLinked records that a link to another entry has come up. That entry may have
 // restarted, and counts its reports anew then.
 func (p *Planner) RecordLinked(entry cleat.InstanceID) {
@@ -52,9 +72,13 @@
 	if m.Seq <= q.seq && now.Sub(q.receivedAt) < peerMaxAge {
 		return
 	}
+	p.usage.countHeard(now, q.receivedAt)
 	p.addPeerReport(q, -1)
 	*q = peer{seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs}
 	p.addPeerReport(q, 1)
+	if p.updateJoining(now); m.Partial {
+		return
+	}
 	p.applySpeeds(now, m.Loads)
 	for _, c := range m.CachedBlocks {
 		if u, ok := p.upstreams[c.Upstream]; ok && u.cache != nil {
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -62,26 +62,40 @@
 // withinShare reports whether a job of a workspace is within the workspace's share at
 // this entry. It returns the credit that the job is charged to; nil if the capacity is
 // not known.
-func (u *usageTable) withinShare(now time.Time, w cleat.WorkspaceID) (*credit, bool) {
+func (u *usageTable) withinShare(now time.Time, j *Job) (*credit, bool) {
 	if u.capacity == 0 {
 		return nil, true
 	}
-	r := u.row(now, w)
+	r := u.row(now, j.Workspace)
+	u.open(&r.credit, j)
 	r.credit.refill(now, u.localRate(now, r))
 	return &r.credit, u.totalDemand(now, r) <= u.share(now) || r.credit.units > 0
 }
 
 // withinSpare does the same beyond the share.
-func (u *usageTable) withinSpare(now time.Time, w cleat.WorkspaceID) (*credit, bool) {
-	r := u.row(now, w)
+func (u *usageTable) withinSpare(now time.Time, j *Job) (*credit, bool) {
+	r := u.row(now, j.Workspace)
+	u.open(&r.spareCredit, j)
 	r.spareCredit.refill(now, u.spareFraction(now)*u.localRate(now, r))
 	return &r.spareCredit, r.spareCredit.units > 0
 }
 
+// open gives a credit that is used for the first time a debt of a part of the job's cost.
+// The part differs between entries: if many that start together admitted a job at once,
+// their workspace would get what it should get in seconds.
+func (u *usageTable) open(c *credit, j *Job) {
+	if c.refilled.IsZero() && u.joining.members > 0 {
+		c.units = -hashToUnit(hashName(string(u.self)+" "+string(j.Workspace))) * float64(j.costUnits())
+	}
+}
+
 // spareFraction returns what may be admitted beyond a share, as a fraction of it. While
 // an entry is too busy to admit the share of a workspace behind it, the others must not
 // get much more.
 func (u *usageTable) spareFraction(now time.Time) float64 {
+	if u.joining.active {
+		return 0
+	}
 	u.share(now)
 	return min(max(0, maxServedRatio*u.leastServed-1), spareShares)
 }
@@ -107,11 +121,12 @@
 // IsWithinShare counts the request of a job that may be submitted later, and reports
 // whether it is within the workspace's share at this entry.
 func (p *Planner) IsWithinShare(now time.Time, j *Job) bool {
+	p.updateJoining(now)
 	p.countRequest(now, j)
 	if p.engines[j.Service] == nil {
 		return true
 	}
-	_, ok := p.usage.withinShare(now, j.Workspace)
+	_, ok := p.usage.withinShare(now, j)
 	return ok
 }
 
@@ -130,6 +145,9 @@
 	if recent == 0 {
 		return 0
 	}
+	if u.joining.active {
+		return min(u.share(now), u.ownCapacity()) / u.window.Seconds()
+	}
 	part := recent / (recent + float64(r.peers.recent))
 	if now.Sub(r.activeSince) < u.reportDelay {
 		part = min(part, 1/float64(1+u.peers)) // Other entries may have new requests of the workspace too.
@@ -137,13 +155,14 @@
 	return min(u.share(now), u.capacity) / u.window.Seconds() * part
 }
 
-// shareInterval is how long the max-min share is reused.
+// shareInterval is how long the max-min share is reused, unless as much is requested here
+// as all engines can serve in that time.
 const shareInterval = 50 * time.Millisecond
 
 // share returns the max-min share of a workspace in a window, in cost units.
 func (u *usageTable) share(now time.Time) float64 {
-	if now.Sub(u.fairShareAt) >= shareInterval {
-		u.fairShareAt, u.fairShare = now, u.maxMinShare(now)
+	if now.Sub(u.fairShareAt) >= shareInterval || float64(u.newDemand) > u.ownCapacity()*float64(shareInterval)/float64(u.window) {
+		u.fairShareAt, u.fairShare, u.newDemand = now, u.maxMinShare(now), 0
 		u.recordServed(now, u.fairShare)
 	}
 	return u.fairShare
@@ -172,7 +191,7 @@
 		}
 	}
 	slices.Sort(requested)
-	remaining := u.capacity
+	remaining := u.ownCapacity()
 	for i, n := range requested {
 		equalShare := remaining / float64(len(requested)-i)
 		if n > equalShare {
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -83,19 +83,23 @@
 
 // usageTable accounts for the workspaces' use of capacity.
 type usageTable struct {
+	self        cleat.InstanceID
 	window      time.Duration
 	epoch       time.Time // When the first bucket began.
 	rows        map[cleat.WorkspaceID]*workspaceUsage
 	capacity    float64 // Cost units that all engines can serve in a window; zero when not known.
 	fairShare   float64 // Max-min share as of fairShareAt.
 	fairShareAt time.Time
+	newDemand   int // Cost units requested here since fairShareAt.
+	joining     joining
 	leastServed float64       // What is admitted for the worst served workspace with more demand than its share, as a fraction of that.
 	peers       int           // Other entries from which reports come.
+	heard       int           // Those whose reports tell of new demand, since epoch.
 	reportDelay time.Duration // Time within which all of them have reported a new demand.
 }
 
-func newUsageTable(window time.Duration) usageTable {
-	return usageTable{window: window, rows: make(map[cleat.WorkspaceID]*workspaceUsage)}
+func newUsageTable(self cleat.InstanceID, window time.Duration) usageTable {
+	return usageTable{self: self, window: window, rows: make(map[cleat.WorkspaceID]*workspaceUsage)}
 }
 
 func (u *usageTable) row(now time.Time, w cleat.WorkspaceID) *workspaceUsage {
@@ -117,12 +121,16 @@
 		r.activeSince = now
 	}
 	r.requested[r.newest%windowBuckets] += units
+	u.newDemand += units
 }
 
 // addAdmitted adds units, or takes back those of a job that was not started.
 func (u *usageTable) addAdmitted(now time.Time, w cleat.WorkspaceID, units int) {
 	r := u.row(now, w)
 	r.admitted[r.newest%windowBuckets] += units
+	if u.joining.endedAt.IsZero() {
+		u.joining.admitted += units
+	}
 }
 
 // countRefused counts a refused job by its reason.
@@ -171,17 +179,35 @@
 }
 
 // totalDemand returns the cost units requested for a workspace at all entries in a
-// window. Until the others have reported for the first time, a third of them are
-// assumed to have as much as this one: too little for a crowd at all entries, too much
-// for one at this entry.
+// window; while this entry is joining, those requested here. Of the others that have not
+// reported a new demand yet, a third are assumed to have as much as this one: too little
+// for a crowd at all entries, too much for one at this entry.
 func (u *usageTable) totalDemand(now time.Time, r *workspaceUsage) float64 {
 	own := float64(u.demand(now, r))
+	if u.joining.active {
+		return own
+	}
+	total := own + float64(r.peers.requested)
 	if now.Sub(u.epoch) < u.reportDelay {
-		return own * (1 + float64(u.peers)/3)
+		return max(total, own*(1+float64(max(0, u.peers-u.heard))/3))
+	}
+	return total
+}
+
+// countHeard counts another entry's report, given the time of its last one.
+func (u *usageTable) countHeard(now, last time.Time) {
+	if u.epoch.IsZero() {
+		return
+	}
+	if from := u.epoch.Add(minHeardDemand); !now.Before(from) && last.Before(from) {
+		u.heard++
 	}
-	return own + float64(r.peers.requested)
 }
 
+// minHeardDemand is how long another entry must have had a new demand for its report to
+// tell how large it is.
+const minHeardDemand = 50 * time.Millisecond
+
 // report returns the usage at this entry, without that at other entries.
 func (u *usageTable) report(now time.Time) []cleat.WorkspaceUsage {
 	var list []cleat.WorkspaceUsage
--- a/role/ctrl/links.go
+++ b/role/ctrl/links.go
@@ -172,6 +172,7 @@
 		return
 	}
 	n.registered, n.sentRevision, n.manifestVersion = true, m.Revision, m.ManifestVersion
+	r.sendMembers(r.clock.Now(), n) // An entry must know how many others there are before it places requests.
 	r.sendRoster(l)
 	r.log.Info("node registered", "node", m.Peer.Instance, "role", m.Peer.Role, "domain", m.Peer.Domain, "revision", m.Revision)
 }
--- a/role/ctrl/push.go
+++ b/role/ctrl/push.go
@@ -138,10 +138,7 @@
 		if !n.registered {
 			continue
 		}
-		if m := r.members.Merged(now, &n.receiver); m != nil {
-			m.Relay = r.self.Instance
-			r.sendOrLog(n.link, m)
-		}
+		r.sendMembers(now, n)
 	}
 	for _, p := range r.peers {
 		m, next := r.members.Direct(p.cursor)
@@ -155,6 +152,15 @@
 	}
 }
 
+// sendMembers sends a node the changes of the members since the last time. The caller
+// holds r.mu.
+func (r *Role) sendMembers(now time.Time, n *nodeLink) {
+	if m := r.members.Merged(now, &n.receiver); m != nil {
+		m.Relay = r.self.Instance
+		r.sendOrLog(n.link, m)
+	}
+}
+
 // sumsLoop sends agents the fleet-wide sums of the service ledger.
 func (r *Role) sumsLoop(ctx context.Context) error {
 	for sleep(ctx, r.cfg.SumsInterval) {
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -161,7 +161,7 @@
 			sweptStreams = now
 			r.streams.Tick(now)
 		}
-		if j, ok := r.planner.Joined(now); ok && !joined {
+		if j, ok := r.planner.Joined(); ok && !joined {
 			joined = true
 			r.log.Info("joined", "took", j.Took.Round(time.Millisecond), "members", j.Members, "heard", j.Heard, "admitted_before", j.Admitted)
 		}
--- a/role/proxy/mesh.go
+++ b/role/proxy/mesh.go
@@ -33,6 +33,7 @@
 	r.handleLookupLink(l, true)
 	now := r.clock.Now()
 	r.planner.RecordLinked(l.Peer().Instance)
+	r.broadcast([]cleat.Link{l}, r.planner.Introduction(now))
 	m := r.poison.Complete(now)
 	if m == nil {
 		m = &cleat.CrashReport{}
