The retry slack of an entry that restarts accrues anew

Each restart gave an entry its part of the retry slack again. An entry that isn't part of the fleet's first start now gets its slack over one and a half windows. Entries of a new fleet keep it from the first request on. The spec is a table now, its first case unchanged.

--- a/cmd/hosted/entry.go
+++ b/cmd/hosted/entry.go
@@ -38,7 +38,7 @@
 		Callers: boot.Callers, HTTP: boot.HTTP, Links: boot.Links, Controls: boot.Controls,
 		Wire:    linkCfg,
 		Place:   place.Config{UsageWindow: boot.UsageWindow, ColdOvershoot: boot.Cold.Overshoot, ColdSlack: boot.Cold.Slack, Outputs: f.outputEstimator()},
-		Retries: budget.Config{Ratio: boot.Retries.Ratio, Slack: boot.Retries.Slack, Window: boot.Retries.Window},
+		Retries: budget.Config{Ratio: boot.Retries.Ratio, Slack: boot.Retries.Slack, Window: boot.Retries.Window, Restarted: !boot.FirstStart},
 		Dialect: platform.Headers{}, Decoder: platform.RouteTableDecoder{},
 		ExtraHTTP:         boot.ReadyAPI,
 		Extra:             func(r *proxy.Role) http.Handler { return platform.NewReadyAPI(r.Ready) },
--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -11,8 +11,15 @@
 	Ratio  float64 // Retries allowed per request.
 	Slack  float64 // Additional retries of the whole fleet in a window.
 	Window time.Duration
+
+	Restarted bool // This entry may have used slack in another process.
 }
 
+// accrualWindows is the time, in windows, in which the slack of an entry that has
+// restarted becomes whole. What it used before and what it gets anew stay within the
+// slack together, however often it restarts.
+const accrualWindows = 1.5
+
 // Fractions of the bound that one entry uses. The windows of entries begin at
 // different moments, so the rest is a margin that keeps the sum over all entries
 // within the bound.
@@ -68,6 +75,14 @@
 	return c
 }
 
+// accrued returns the fraction of its slack that the entry may use.
+func (b *Budget) accrued(now time.Time) float64 {
+	if !b.cfg.Restarted {
+		return 1
+	}
+	return min(1, now.Sub(b.epoch).Seconds()/(accrualWindows*b.cfg.Window.Seconds()))
+}
+
 // RecordRequest counts a caller's request for a service.
 func (b *Budget) RecordRequest(now time.Time, s cleat.ServiceName) {
 	c := b.countsFor(now, s)
@@ -82,7 +97,7 @@
 		requests += c.requests[i]
 		retries += c.retries[i]
 	}
-	limit := ratioFraction*b.cfg.Ratio*float64(requests) + slackFraction*b.cfg.Slack/float64(b.entries)
+	limit := ratioFraction*b.cfg.Ratio*float64(requests) + slackFraction*b.cfg.Slack/float64(b.entries)*b.accrued(now)
 	if float64(retries+1) > limit {
 		return false
 	}
--- a/policy/budget/budget_test.go
+++ b/policy/budget/budget_test.go
@@ -16,33 +16,48 @@
 	start := time.Unix(1e9, 0)
 	const service = cleat.ServiceName("s")
 
-	It("keeps the fleet's bound in every window while entries can't reach each other", func() {
-		const entries = 4
-		rnd := rand.New(rand.NewSource(1))
-		var fleet []*budget.Budget
-		for range entries {
-			b := budget.New(cfg)
-			b.SetEntries(entries)
-			fleet = append(fleet, b)
-		}
-		var requests, retries []time.Time
-		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(10 * time.Millisecond) {
-			b := fleet[rnd.Intn(entries)]
-			if now.Sub(start) < 20*time.Second || now.Sub(start) > 40*time.Second {
-				b.RecordRequest(now, service)
-				requests = append(requests, now)
+	for name, c := range map[string]struct {
+		entries  int
+		lifetime time.Duration // Of an entry; zero for no restarts.
+	}{
+		"entries can't reach each other": {4, 0},
+		// Each restart gave an entry its slack again.
+		"all entries restart again and again": {27, 3 * time.Second},
+	} {
+		It("keeps the fleet's bound in every window while "+name, func() {
+			rnd := rand.New(rand.NewSource(1))
+			fleet := make([]*budget.Budget, c.entries)
+			begin := func(cfg budget.Config) {
+				for i := range fleet {
+					fleet[i] = budget.New(cfg)
+					fleet[i].SetEntries(c.entries)
+				}
 			}
-			if b.AllowRetry(now, service) {
-				retries = append(retries, now)
+			begin(cfg)
+			var requests, retries []time.Time
+			for now := start; now.Before(start.Add(time.Minute)); now = now.Add(10 * time.Millisecond) {
+				if c.lifetime > 0 && now.After(start) && now.Sub(start)%c.lifetime == 0 {
+					restarted := cfg
+					restarted.Restarted = true
+					begin(restarted)
+				}
+				b := fleet[rnd.Intn(c.entries)]
+				if now.Sub(start) < 20*time.Second || now.Sub(start) > 40*time.Second {
+					b.RecordRequest(now, service)
+					requests = append(requests, now)
+				}
+				if b.AllowRetry(now, service) {
+					retries = append(retries, now)
+				}
 			}
-		}
-		Expect(retries).NotTo(BeEmpty())
-		for _, from := range retries {
-			n, m := countWithin(retries, from, cfg.Window), countWithin(requests, from, cfg.Window)
-			before := countWithin(requests, from.Add(-cfg.Window), cfg.Window)
-			Expect(float64(n)).To(BeNumerically("<=", cfg.Ratio*float64(max(m, before))+cfg.Slack))
-		}
-	})
+			Expect(retries).NotTo(BeEmpty())
+			for _, from := range retries {
+				n, m := countWithin(retries, from, cfg.Window), countWithin(requests, from, cfg.Window)
+				before := countWithin(requests, from.Add(-cfg.Window), cfg.Window)
+				Expect(float64(n)).To(BeNumerically("<=", cfg.Ratio*float64(max(m, before))+cfg.Slack))
+			}
+		})
+	}
 
 	It("refuses immediately when the slack is spent and no requests arrive", func() {
 		b := budget.New(cfg)
