--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -72,7 +72,7 @@
 	if m.Seq <= q.seq && now.Sub(q.receivedAt) < peerMaxAge {
 		return
 	}
-	p.usage.countHeard(now, q.receivedAt)
+	p.usage.countDemandReport(now, q.receivedAt)
 	p.addPeerReport(q, -1)
 	*q = peer{seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs}
 	p.addPeerReport(q, 1)
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -94,7 +94,7 @@
 	joining     joining
 	leastServed float64       // What is admitted for the worst served workspace with more demand than its share, as a fraction of that.
 	peers       int           // Other entries from which reports come.
-	heard       int           // Those whose reports tell of new demand, since epoch.
+	heardDemand int           // Those whose reports tell of new demand, since epoch.
 	reportDelay time.Duration // Time within which all of them have reported a new demand.
 }
 
@@ -189,18 +189,18 @@
 	}
 	total := own + float64(r.peers.requested)
 	if now.Sub(u.epoch) < u.reportDelay {
-		return max(total, own*(1+float64(max(0, u.peers-u.heard))/3))
+		return max(total, own*(1+float64(max(0, u.peers-u.heardDemand))/3))
 	}
 	return total
 }
 
-// countHeard counts another entry's report, given the time of its last one.
-func (u *usageTable) countHeard(now, last time.Time) {
+// countDemandReport counts another entry's report, given the time of its last one.
+func (u *usageTable) countDemandReport(now, last time.Time) {
 	if u.epoch.IsZero() {
 		return
 	}
 	if from := u.epoch.Add(minHeardDemand); !now.Before(from) && last.Before(from) {
-		u.heard++
+		u.heardDemand++
 	}
 }
 
