Credits begin with a debt soon after an entry's start only

Workspaces that began to ask for more than their share long after the start of their entries began with a debt as well, which delayed them without a reason.

--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -67,7 +67,7 @@
 		return nil, true
 	}
 	r := u.row(now, j.Workspace)
-	u.open(&r.credit, j)
+	u.open(now, &r.credit, j)
 	r.credit.refill(now, u.localRate(now, r))
 	return &r.credit, u.totalDemand(now, r) <= u.share(now) || r.credit.units > 0
 }
@@ -75,16 +75,17 @@
 // withinSpare does the same beyond the share.
 func (u *usageTable) withinSpare(now time.Time, j *Job) (*credit, bool) {
 	r := u.row(now, j.Workspace)
-	u.open(&r.spareCredit, j)
+	u.open(now, &r.spareCredit, j)
 	r.spareCredit.refill(now, u.spareFraction(now)*u.localRate(now, r))
 	return &r.spareCredit, r.spareCredit.units > 0
 }
 
-// open gives a credit that is used for the first time a debt of a part of the job's cost.
-// The part differs between entries: if many that start together admitted a job at once,
-// their workspace would get what it should get in seconds.
-func (u *usageTable) open(c *credit, j *Job) {
-	if c.refilled.IsZero() && u.joining.members > 0 {
+// open gives a credit that is used for the first time, soon after the entry's start, a
+// debt of a part of the job's cost: the workspace may have had one before. The part
+// differs between entries: if many that start together admitted a job at once, their
+// workspace would get what it should get in seconds.
+func (u *usageTable) open(now time.Time, c *credit, j *Job) {
+	if c.refilled.IsZero() && u.joining.members > 0 && now.Sub(u.joining.startedAt) < u.window {
 		c.units = -hashToUnit(hashName(string(u.self)+" "+string(j.Workspace))) * float64(j.costUnits())
 	}
 }
