Name the workspace of a revoked key in refusals, and the capacity in use

Tables remember up to 1,024 revoked keys, and the line names who had it and since when not. Lines on shares and on overload state the capacity that is divided.

--- a/policy/place/share_usage.go
+++ b/policy/place/share_usage.go
@@ -12,6 +12,7 @@
 // units over the accounting window.
 type ShareUsage struct {
 	Workspace                             cleat.WorkspaceID
+	Capacity                              float64       // That is divided into shares.
 	Share                                 float64       // Of the whole fleet's capacity; infinite when it covers all demand.
 	Requested, Admitted, Started          int           // At this entry; started requests have a first event.
 	RequestedElsewhere, AdmittedElsewhere int           // At other entries, by their last reports.
@@ -29,7 +30,7 @@
 func (u *usageTable) usage(now time.Time, w cleat.WorkspaceID) ShareUsage {
 	r := u.row(now, w)
 	return ShareUsage{
-		Workspace: w, Share: u.share(now), Requested: u.demand(now, r), Admitted: sum(r.admitted), Started: sum(r.started),
+		Workspace: w, Capacity: u.ownCapacity(), Share: u.share(now), Requested: u.demand(now, r), Admitted: sum(r.admitted), Started: sum(r.started),
 		RequestedElsewhere: r.peers.requested, AdmittedElsewhere: r.peers.admitted,
 		Rate: u.localRate(now, r), Credit: r.credit.units, Refused: r.refused,
 	}
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -62,6 +62,7 @@
 		r.log.Error("manifest can't be decoded", "version", m.version, "err", trace.UserMessage(err))
 		return
 	}
+	t.RecordRevoked(r.table.Load())
 	r.mu.Lock()
 	r.planner.SetServices(t.Services, t.Limits.TokensPerSec)
 	r.recordRoutes(m.at, t, m.age, r.manifestSkipped)
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -123,6 +123,9 @@
 	if !x.route.Public {
 		workspace, ok := x.table.WorkspaceByKey(x.info.WorkspaceKey)
 		if !ok {
+			if k, revoked := x.table.RevokedKey(x.info.WorkspaceKey); revoked {
+				x.refusalFields = []any{"held_by", k.Workspace, "revoked_in", k.Version}
+			}
 			x.refuse(http.StatusUnauthorized, "unknown_key", 0)
 			return false
 		}
@@ -258,7 +261,7 @@
 		return
 	}
 	fields := []any{"status", status, "why", reason, "attempts", x.attempts, "retry_after", retryAfter}
-	if r := place.Reason(reason); r == place.ReasonOverShare || r == place.ReasonLateRetry {
+	if r := place.Reason(reason); r == place.ReasonOverShare || r == place.ReasonLateRetry || r == place.ReasonOverload {
 		x.role.mu.Lock()
 		u := x.role.planner.ShareUsage(now, x.workspace)
 		x.role.mu.Unlock()
--- a/routing.go
+++ b/routing.go
@@ -108,6 +108,7 @@
 
 	byHost   map[string][]*Route // Longest prefix first.
 	byKey    map[string]*WorkspaceKeys
+	revoked  map[string]RevokedKey
 	services map[ServiceName]*Service
 }
 
@@ -210,6 +211,40 @@
 	return w, ok
 }
 
+// RevokedKey is a key that a workspace no longer has.
+type RevokedKey struct {
+	Workspace WorkspaceID
+	Version   uint64 // The first version without the key.
+}
+
+// maxRevokedKeys bounds the revoked keys that a table remembers.
+const maxRevokedKeys = 1024
+
+// RecordRevoked takes over from the table before it which keys were revoked. Call it
+// before the table is shared; previous may be nil.
+func (t *RouteTable) RecordRevoked(previous *RouteTable) {
+	if previous == nil {
+		return
+	}
+	t.revoked = make(map[string]RevokedKey)
+	for key, w := range previous.byKey {
+		if t.byKey[key] == nil && len(t.revoked) < maxRevokedKeys {
+			t.revoked[key] = RevokedKey{Workspace: w.Name, Version: t.Version}
+		}
+	}
+	for key, r := range previous.revoked {
+		if t.byKey[key] == nil && len(t.revoked) < maxRevokedKeys {
+			t.revoked[key] = r
+		}
+	}
+}
+
+// RevokedKey returns which workspace last had a key that no workspace has now.
+func (t *RouteTable) RevokedKey(key string) (RevokedKey, bool) {
+	r, ok := t.revoked[key]
+	return r, ok
+}
+
 // ServiceByName returns the service of that name.
 func (t *RouteTable) ServiceByName(name ServiceName) (*Service, bool) {
 	s, ok := t.services[name]
