--- a/policy/place/cold.go
+++ b/policy/place/cold.go
@@ -119,7 +119,7 @@
 	switch o {
 	case OutcomeNotSent, OutcomeMisdirected:
 		p.limits.ReturnCold(now, j.coldTokenAt, u.record.Upstream)
-	case OutcomeUnreachable, OutcomeShutDown:
+	case OutcomeUnreachable, OutcomeLost, OutcomeShutDown:
 		if p.upstreams[u.record.Upstream] == u && p.limits.RecordFailure(now, u.record.Upstream) {
 			p.slowStart(now, u.record.Upstream)
 		}
--- a/policy/place/cold_test.go
+++ b/policy/place/cold_test.go
@@ -242,6 +242,47 @@
 		}
 	})
 
+	// FAIR on qila-ops-grown: engines that reset some of their requests were cold at all
+	// entries nearly all the time.
+	It("keeps using an upstream that breaks off some requests while others go on", func() {
+		r := newColdRig(1, 0, 0)
+		stream := r.submit(r.prompt("w", 1, 0, 500, 300)).Job
+		r.RecordFirstEvent(r.now, stream)
+		for range 40 {
+			r.pass(50 * time.Millisecond)
+			r.RecordEvents(r.now, stream, 1)
+			v, decided := r.Submit(r.now, r.prompt("w", 1, 0, 500, 10))
+			if !decided || !v.Placed() {
+				continue
+			}
+			r.pass(50 * time.Millisecond)
+			r.RecordEvents(r.now, stream, 1)
+			r.RecordEnd(r.now, v.Job, place.OutcomeLost)
+			r.RecordBroken(r.now, r.records[0])
+			Expect(r.ColdCounts(r.now).Cold).To(Equal(0))
+		}
+	})
+
+	It("takes an upstream for cold that breaks off a request after it was silent", func() {
+		r := newColdRig(1, 0, 0)
+		job := r.submit(r.prompt("w", 1, 0, 500, 10)).Job
+		r.RecordFirstEvent(r.now, job)
+		r.pass(time.Second)
+		r.RecordEnd(r.now, job, place.OutcomeLost)
+		Expect(r.ColdCounts(r.now).Cold).To(Equal(1))
+	})
+
+	It("takes an upstream for cold that refuses a connection after it broke off a request", func() {
+		r := newColdRig(1, 0, 0)
+		job := r.submit(r.prompt("w", 1, 0, 500, 10)).Job
+		r.RecordFirstEvent(r.now, job)
+		r.RecordEnd(r.now, job, place.OutcomeLost)
+		r.pass(300 * time.Millisecond)
+		next := r.submit(r.prompt("w", 1, 0, 500, 10)).Job
+		r.RecordEnd(r.now, next, place.OutcomeUnreachable)
+		Expect(r.ColdCounts(r.now).Cold).To(Equal(1))
+	})
+
 	It("knows from another entry's report that an upstream may be cold", func() {
 		a, b := newColdRig(2, 0, 1), newColdRig(2, 0, 1)
 		a.RecordBroken(a.now, a.records[1])
--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -287,6 +287,24 @@
 	return m
 }
 
+// shortFleet has fewer engines than its capacity states, and eight light workspaces beside
+// four heavy ones. Half of the light ones reach two entries each.
+func shortFleet(engines int, seed int64) *fleetModel {
+	const tokensPerSec, light = 1_000_000, 8
+	m := newFleetModel(29, engines, tokensPerSec)
+	m.rnd = rand.New(rand.NewSource(seed))
+	m.callers = overloadedFleet().callers[:4]
+	for i := range light {
+		entries := m.all()
+		if i%2 == 0 {
+			entries = []int{10 + i, 11 + i}
+		}
+		part := 0.03 + 0.05*float64(i)/(light-1)
+		m.callers = append(m.callers, callers{cleat.WorkspaceID(fmt.Sprintf("light-%d", i)), entries, part * tokensPerSec / meanCost})
+	}
+	return m
+}
+
 var _ = Describe("Planners of a fleet", func() {
 	// FAIR on pastor-andino-grown: entries that read the same stale sums sent bursts.
 	It("give a workspace behind one entry no less than half of what one behind all entries gets", func() {
@@ -366,6 +384,21 @@
 		})
 	}
 
+	// FAIR on qila-ops-grown: shares were parts of the stated capacity, so that light
+	// workspaces were refused as often as heavy ones while engines served less.
+	for _, engines := range []int{3, 4, 6, 8, 12} {
+		It(fmt.Sprintf("give light workspaces their part of what %d engines serve, which is less than is stated", engines), func() {
+			for _, seed := range []int64{21, 22} {
+				m := shortFleet(engines, seed)
+				m.run(4 * time.Second)
+				warmUp := len(m.seconds)
+				m.run(20 * time.Second)
+				m.seconds = m.seconds[warmUp:]
+				Expect(m.starved()).To(BeEmpty(), "seed %d", seed)
+			}
+		})
+	}
+
 	It("refuse nothing while the capacity covers what is requested", func() {
 		m := overloadedFleet()
 		for i := range m.callers {
--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -45,7 +45,8 @@
 	OutcomeServed      Outcome = iota
 	OutcomeFailed              // The upstream answered with an error, or truncated the answer.
 	OutcomeFull                // The upstream did not run it for lack of capacity.
-	OutcomeUnreachable         // No connection, or the connection was lost.
+	OutcomeUnreachable         // No connection.
+	OutcomeLost                // The connection was lost before the answer was complete.
 	OutcomeShutDown            // It refuses connections after it has closed one in good order.
 	OutcomeCanceled            // The caller left or its deadline passed.
 	OutcomeNotSent             // As OutcomeCanceled, before the request was sent.
@@ -82,7 +83,7 @@
 		u.recordOutcome(now, true)
 	case OutcomeFull:
 		u.avoidUntil = now.Add(initialBackoff)
-	case OutcomeUnreachable, OutcomeMisdirected:
+	case OutcomeUnreachable, OutcomeLost, OutcomeMisdirected:
 		u.recordUnreachable(now)
 	case OutcomeShutDown:
 		u.consecutiveFailures = max(u.consecutiveFailures, maxBackoffFailures)
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -103,7 +103,7 @@
 		x.endCanceled()
 		return resultDone
 	}
-	x.role.recordEnd(x.job, place.OutcomeUnreachable)
+	x.role.recordEnd(x.job, place.OutcomeLost)
 	x.logDecision("connection_lost", "upstream", u.Upstream, "address", u.Address, "err", err, "blocks", x.blockNames(), "digest", x.digestName())
 	x.recordBroken(u)
 	return resultFailed
