A connection that breaks off isn't taken for a restart of the upstream

An upstream that was heard within half a second before a connection broke can't have restarted unnoticed: it refuses the next connections then, which marks it as before. One that was silent is marked, until an entry sees a request from before the failure go on; it tells the others, and for 10 s further broken connections of that upstream say nothing.

--- a/placement.go
+++ b/placement.go
@@ -63,6 +63,7 @@
 	WarmUp          time.Duration `msgpack:"c,omitempty"` // Remaining time for which it is cold by its announcements and answers.
 	FailedAge       time.Duration `msgpack:"f,omitempty"` // Since a connection to it was last refused or broke off; zero for never.
 	ReachedAge      time.Duration `msgpack:"r,omitempty"` // Since its first answer after the last failure known; zero for none.
+	ProofAge        time.Duration `msgpack:"p,omitempty"` // Since a request from before a failure was last seen to go on; zero for never.
 }
 
 // UpstreamLimit tells another entry about the rate limit that an upstream names.
--- a/policy/permit/cold.go
+++ b/policy/permit/cold.go
@@ -55,6 +55,7 @@
 	services         map[cleat.ServiceName]ColdService
 	rows             map[cleat.UpstreamID]*coldRow
 	until            time.Time // No upstream is cold from then on.
+	brokenUntil      time.Time // No broken connection needs to be explained from then on.
 	isLeaving        bool      // This entry shuts down.
 	knowsMembers     bool      // The fleet's members are known.
 	settled          bool      // What the others know has arrived.
@@ -81,7 +82,9 @@
 	own, heard   failure   // Failed connections of this entry, and of others.
 	failingSince time.Time // Begin of the failures in a row of which the last was at lastFailedAt.
 	lastFailedAt time.Time
-	provenAt     time.Time // When a request from before a failure was last seen to go on.
+	brokenAt     time.Time // When a connection of this entry last broke off; zero once that is explained.
+	provenAt     time.Time // When a request from before a failure was last seen to go on, at any entry.
+	ownProofAt   time.Time // The same at this entry.
 
 	until     time.Time
 	since     time.Time // When it became cold; zero if nothing was sent there before.
@@ -242,6 +245,11 @@
 	return r
 }
 
+// hasColdNews reports whether an upstream is cold or has lately broken off a connection.
+func (t *Table) hasColdNews(now time.Time) bool {
+	return now.Before(t.cold.until) || now.Before(t.cold.brokenUntil)
+}
+
 // isSettling reports whether this entry has just started and doesn't know yet which
 // upstreams others take for cold.
 func (t *Table) isSettling(now time.Time) bool {
--- a/policy/permit/cold_model_test.go
+++ b/policy/permit/cold_model_test.go
@@ -195,7 +195,7 @@
 	}
 	for i := range broken {
 		if broken[i] {
-			m.after(modelLink, func() { m.deliver(i, func(t *permit.Table) { t.RecordFailure(m.now, u.record.Upstream) }) })
+			m.after(modelLink, func() { m.deliver(i, func(t *permit.Table) { t.RecordBroken(m.now, m.now, u.record.Upstream) }) })
 		}
 	}
 	m.after(down, func() {
--- a/policy/permit/cold_test.go
+++ b/policy/permit/cold_test.go
@@ -306,6 +306,42 @@
 		Expect(t.IsCold(now.Add(1500*time.Millisecond), upstreamID)).To(BeFalse())
 	})
 
+	It("learns from another entry that an upstream broke off a request without having ended", func() {
+		now := start.Add(time.Minute)
+		rec := cleat.UpstreamRecord{Upstream: "u", Service: coldService, StartedAtMillis: start.Add(-time.Hour).UnixMilli()}
+		var tables []*permit.Table
+		for _, name := range []cleat.InstanceID{"a", "b"} {
+			t := permit.New(name)
+			t.SetColdServices(map[cleat.ServiceName]permit.ColdService{coldService: {Start: coldStart, PerSecond: coldPer}})
+			t.SetMembers(1)
+			t.ColdReport(now.Add(-10 * time.Second))
+			t.Announce(now.Add(-10*time.Second), rec)
+			tables = append(tables, t)
+		}
+		a, b := tables[0], tables[1]
+		exchange := func() {
+			a.ApplyCold(now, "b", false, b.ColdReport(now))
+			b.ApplyCold(now, "a", false, a.ColdReport(now))
+		}
+		sentAt := now
+		now = now.Add(2 * time.Second)
+		b.RecordBroken(now, now.Add(-time.Second), "u")
+		Expect(b.ColdUntil("u").After(now)).To(BeTrue())
+		exchange()
+		Expect(a.ColdUntil("u").After(now)).To(BeTrue())
+		now = now.Add(600 * time.Millisecond)
+		a.RecordAlive(now, sentAt, "u")
+		exchange()
+		Expect(a.ColdUntil("u").After(now)).To(BeFalse())
+		Expect(b.ColdUntil("u").After(now)).To(BeFalse())
+
+		now = now.Add(5 * time.Second)
+		b.RecordBroken(now, time.Time{}, "u")
+		Expect(b.ColdUntil("u").After(now)).To(BeFalse())
+		b.RecordFailure(now, "u") // It refuses a connection.
+		Expect(b.ColdUntil("u").After(now)).To(BeTrue())
+	})
+
 	It("counts the time after a failure from the first answer", func() {
 		t.RecordFailure(now, upstreamID)
 		pass(2 * time.Second)
--- a/policy/permit/failure.go
+++ b/policy/permit/failure.go
@@ -19,7 +19,16 @@
 	// proofDelay is the time after a failure from which on the events of an earlier
 	// request prove that the upstream has not ended: until then they may have been
 	// received before.
-	proofDelay = time.Second
+	proofDelay = 500 * time.Millisecond
+	// minRestartTime is the least time in which an upstream restarts. One that was heard
+	// more recently refuses connections before it is back.
+	minRestartTime = 500 * time.Millisecond
+	// unreliableTime is how long an upstream that broke off a connection without having
+	// ended is expected to do so again.
+	unreliableTime = 10 * time.Second
+	// proofReportTime is how long an entry tells others of its proof that an upstream has
+	// not ended.
+	proofReportTime = 2 * time.Second
 	// maxConnectTime bounds the time from the decision to send a request until its
 	// connection is dialed.
 	maxConnectTime = 500 * time.Millisecond
@@ -76,26 +85,59 @@
 	return true
 }
 
+// RecordBroken records that a connection to an upstream broke off, given when the upstream
+// was last heard on any connection that was in use then; zero if that isn't known. The
+// upstream may have restarted unless it was heard just before, or has lately broken off
+// connections without having ended. Should it have ended all the same, it refuses the next
+// connection. It reports whether the upstream's service has cold upstreams.
+func (t *Table) RecordBroken(now, heardAt time.Time, id cleat.UpstreamID) bool {
+	r, ok := t.cold.rows[id]
+	if !ok || t.cold.services[r.service].PerSecond == 0 {
+		return false
+	}
+	r.brokenAt = now
+	t.cold.brokenUntil = now.Add(unreliableTime)
+	if now.Sub(heardAt) < minRestartTime || r.isUnreliable(now) {
+		return true
+	}
+	return t.RecordFailure(now, id)
+}
+
+// isUnreliable reports whether the upstream has lately broken off connections without
+// having ended.
+func (r *coldRow) isUnreliable(now time.Time) bool {
+	return !r.provenAt.IsZero() && now.Sub(r.provenAt) < unreliableTime
+}
+
+// prove records that a request from before a broken connection went on long after it.
+func (r *coldRow) prove(now, sentAt time.Time) bool {
+	at := latest(r.brokenAt, r.last().failedAt)
+	if at.IsZero() || !sentAt.Add(maxConnectTime).Before(at) || now.Sub(at) <= proofDelay {
+		return false
+	}
+	r.provenAt, r.ownProofAt, r.brokenAt = now, now, time.Time{}
+	return true
+}
+
 // RecordAlive records that an upstream answers, or goes on to answer, a request that was
 // sent at a time. A request from before a failure proves that the upstream has not ended;
 // a later one shows since when it is up at the latest.
 func (t *Table) RecordAlive(now, sentAt time.Time, id cleat.UpstreamID) {
-	if len(t.cold.services) == 0 || !now.Before(t.cold.until) {
+	if len(t.cold.services) == 0 || !t.hasColdNews(now) {
 		return // The usual case, for each event.
 	}
 	r, ok := t.cold.rows[id]
-	if !ok || !now.Before(r.until) {
+	if !ok {
 		return
 	}
 	f := r.last()
 	switch {
-	case f.failedAt.IsZero() || r.provenAt.After(f.failedAt):
+	case f.failedAt.IsZero() && r.brokenAt.IsZero():
+		return
+	case !r.provenAt.After(latest(f.failedAt, r.brokenAt)) && r.prove(now, sentAt):
+		t.refresh(now, id, r, "")
+	case f.failedAt.IsZero() || r.provenAt.After(f.failedAt) || !now.Before(r.until):
 		return
-	case sentAt.Add(maxConnectTime).Before(f.failedAt): // Its connection is from before the failure.
-		if now.Sub(f.failedAt) > proofDelay {
-			r.provenAt = now
-			t.refresh(now, id, r, "")
-		}
 	case sentAt.After(f.failedAt) && !r.own.reachedAt.After(f.failedAt):
 		r.own.reachedAt = now
 		t.refresh(now, id, r, "")
@@ -113,16 +155,22 @@
 	if !t.hearsEnough(now) {
 		t.cold.aloneAt = now
 	}
-	if !now.Before(t.cold.until) {
+	if !t.hasColdNews(now) {
 		return nil
 	}
 	var list []cleat.ColdUpstream
 	for _, id := range slices.Sorted(maps.Keys(t.cold.rows)) {
 		r := t.cold.rows[id]
+		m := cleat.ColdUpstream{Upstream: id, StartedAtMillis: r.born}
+		if age := now.Sub(r.ownProofAt); !r.ownProofAt.IsZero() && age < proofReportTime {
+			m.ProofAge = max(1, age)
+		}
 		if !now.Before(r.until) {
+			if m.ProofAge > 0 {
+				list = append(list, m)
+			}
 			continue
 		}
-		m := cleat.ColdUpstream{Upstream: id, StartedAtMillis: r.born}
 		news := r.newsUntil
 		if !r.startHeardAt.IsZero() {
 			news = latest(news, r.startHeardAt.Add(t.cold.services[r.service].Start))
@@ -134,7 +182,7 @@
 		if r.own.reachedAt.After(r.last().failedAt) {
 			m.ReachedAge = max(1, now.Sub(r.own.reachedAt))
 		}
-		if m.WarmUp > 0 || m.FailedAge > 0 || m.ReachedAge > 0 {
+		if m.WarmUp > 0 || m.FailedAge > 0 || m.ReachedAge > 0 || m.ProofAge > 0 {
 			list = append(list, m)
 		}
 	}
@@ -153,6 +201,10 @@
 		if !ok || r.born > m.StartedAtMillis {
 			continue
 		}
+		if m.ProofAge > 0 {
+			r.provenAt = latest(r.provenAt, now.Add(-m.ProofAge))
+			t.cold.brokenUntil = latest(t.cold.brokenUntil, now.Add(unreliableTime))
+		}
 		if m.WarmUp > 0 {
 			r.heardUntil = latest(r.heardUntil, now.Add(min(m.WarmUp, maxHeardWarmUp)))
 		}
--- a/policy/place/cold.go
+++ b/policy/place/cold.go
@@ -45,15 +45,42 @@
 	p.slowStart(now, r.Upstream)
 }
 
-// RecordBroken records that an upstream broke off an answer or closed a connection that
-// was in use recently: it may have restarted.
+// RecordBroken records that an upstream broke off an answer: it may have restarted.
 func (p *Planner) RecordBroken(now time.Time, r cleat.UpstreamRecord) {
-	if u, ok := p.upstreams[r.Upstream]; ok && u.record.StartedAtMillis == r.StartedAtMillis {
-		p.limits.RecordFailure(now, r.Upstream)
+	if u := p.incarnation(r); u != nil {
+		p.recordBroken(now, u, u.heardAt)
+	}
+}
+
+// RecordClosed records that an upstream closed an idle connection that was in use recently:
+// it may have restarted, and been heard since.
+func (p *Planner) RecordClosed(now time.Time, r cleat.UpstreamRecord) {
+	if u := p.incarnation(r); u != nil {
+		p.recordBroken(now, u, time.Time{})
+	}
+}
+
+// RecordEnded records that nothing serves an upstream's address.
+func (p *Planner) RecordEnded(now time.Time, r cleat.UpstreamRecord) {
+	if u := p.incarnation(r); u != nil && p.limits.RecordFailure(now, r.Upstream) {
 		p.slowStart(now, r.Upstream)
 	}
 }
 
+func (p *Planner) recordBroken(now time.Time, u *upstream, heardAt time.Time) {
+	if p.limits.RecordBroken(now, heardAt, u.record.Upstream) {
+		p.slowStart(now, u.record.Upstream)
+	}
+}
+
+// incarnation returns the upstream of a record, or nil if it has restarted or is gone.
+func (p *Planner) incarnation(r cleat.UpstreamRecord) *upstream {
+	if u, ok := p.upstreams[r.Upstream]; ok && u.record.StartedAtMillis == r.StartedAtMillis {
+		return u
+	}
+	return nil
+}
+
 // MarkDomainCold takes all upstreams of a failure domain for cold, as after their start.
 // It is to be called when the domain's evacuation ends.
 func (p *Planner) MarkDomainCold(now time.Time, d cleat.DomainID) {
@@ -119,7 +146,11 @@
 	switch o {
 	case OutcomeNotSent, OutcomeMisdirected:
 		p.limits.ReturnCold(now, j.coldTokenAt, u.record.Upstream)
-	case OutcomeUnreachable, OutcomeLost, OutcomeShutDown:
+	case OutcomeLost:
+		if p.upstreams[u.record.Upstream] == u {
+			p.recordBroken(now, u, u.heardAt)
+		}
+	case OutcomeUnreachable, OutcomeShutDown:
 		if p.upstreams[u.record.Upstream] == u && p.limits.RecordFailure(now, u.record.Upstream) {
 			p.slowStart(now, u.record.Upstream)
 		}
--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -5,6 +5,7 @@
 // RecordFirstEvent records the first event or the answer of a sent job.
 func (p *Planner) RecordFirstEvent(now time.Time, j *Job) {
 	if u := j.upstream; u != nil {
+		u.heardAt = now
 		if !j.hasFirstEvent {
 			p.usage.addStarted(now, j.Workspace, j.costUnits())
 		}
@@ -24,6 +25,7 @@
 	if u == nil || u.engine == nil {
 		return
 	}
+	u.heardAt = now
 	u.recordEvents(now, j, events)
 	p.limits.RecordAlive(now, j.sentAt, u.record.Upstream)
 	if best := p.bestStreamRate[u.record.Service]; u.streamRate > best {
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -46,7 +46,7 @@
 		return resultNotRun, nil
 	}
 	if p.takeLost() {
-		x.recordMaybeCold(u)
+		x.recordClosed(u)
 	}
 	if !x.role.maySend(x.job) {
 		p.putBack(conn)
--- a/role/proxy/cold.go
+++ b/role/proxy/cold.go
@@ -19,9 +19,8 @@
 	}
 }
 
-// recordMaybeCold records that an upstream closed a connection in use, so that it may have
-// restarted.
-func (x *exchange) recordMaybeCold(u cleat.UpstreamRecord) {
+// recordClosed records that an upstream closed an idle connection that was in use recently.
+func (x *exchange) recordClosed(u cleat.UpstreamRecord) {
 	if x.ctx.Err() != nil {
 		return // This entry may have closed it.
 	}
@@ -29,7 +28,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	r.planner.RecordBroken(now, u)
+	r.planner.RecordClosed(now, u)
 	r.logCold(now)
 }
 
--- a/role/proxy/poison.go
+++ b/role/proxy/poison.go
@@ -87,11 +87,18 @@
 // upstream has ended, the request or its prompt's blocks may be the cause. It waits for
 // that check unless nothing speaks against them: a repeat must not come first.
 func (x *exchange) recordBroken(u cleat.UpstreamRecord) {
-	x.recordMaybeCold(u)
-	if x.begun || x.ctx.Err() != nil {
-		return
+	if x.ctx.Err() != nil {
+		return // This entry may have closed it.
 	}
 	r := x.role
+	r.mu.Lock()
+	now := r.clock.Now()
+	r.planner.RecordBroken(now, u)
+	r.logCold(now)
+	r.mu.Unlock()
+	if x.begun {
+		return
+	}
 	id, blocks := x.info.ID, x.info.Prompt.SharedBlocks()
 	b := poison.Break{Digest: x.requestDigest(), Upstream: u, SentAt: x.sentAt, At: r.clock.Now()}
 	r.mu.Lock()
@@ -104,6 +111,9 @@
 			r.poison.RecordBreak(r.clock.Now(), u, id, blocks, ended)
 		}
 		r.requests.RecordBreak(b, ended)
+		if ended {
+			r.planner.RecordEnded(r.clock.Now(), u)
+		}
 		r.suspects.Store(int64(r.requests.Suspects()))
 	}
 	if isProven {
