Divide the capacity that the engines serve, not the one that is stated

While engines fail, are slow, cold or gone, all workspaces are within their shares of the stated capacity. What is refused then, for lack of room, hits a light workspace as it hits a heavy one: with 3 to 12 engines where 20 are stated light ones got a fifth to a half of what they asked for while heavy ones got more (FAIR).

Entries report what they placed and what they refused for lack of room although it was within a share. Where the latter exceeds a tenth of the former for 1.5 s, the capacity in use is lowered towards what is placed, by a tenth in 1.5 s after the first step; it rises by 30% a second otherwise. Refusals for the share and a lack of demand lower nothing. Debts shrink with the rate, and an entry that joins begins with what another one has learnt.

--- a/placement.go
+++ b/placement.go
@@ -53,7 +53,11 @@
 	Limits       []UpstreamLimit  `msgpack:"m,omitempty"` // Its strings are not interned: entries of an earlier version skip it.
 	Cold         []ColdUpstream   `msgpack:"c,omitempty"` // As Limits.
 	Leaving      bool             `msgpack:"x,omitempty"` // The sender shuts down and gets no further requests.
-	Partial      bool             `msgpack:"i,omitempty"` // Sent when a link has come up: Loads, Usage and Outputs alone.
+	Partial      bool             `msgpack:"i,omitempty"` // Sent when a link has come up, without CachedBlocks, Limits and Cold.
+
+	PlacedTokens uint32  `msgpack:"t,omitempty"` // Tokens of all workspaces that were dispatched in the last part of the usage window.
+	NoRoomTokens uint32  `msgpack:"n,omitempty"` // Those that were refused although their workspace was within its share.
+	CapacityPart float32 `msgpack:"y,omitempty"` // The part of the stated capacity that the sender divides into shares.
 }
 
 // ColdUpstream tells another entry what the sender observed itself about an upstream that may be cold.
--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -399,6 +399,23 @@
 		})
 	}
 
+	It("use the stated capacity again once engines that were missing are back", func() {
+		const seconds = 4
+		m := shortFleet(8, 21)
+		m.run(10 * time.Second)
+		for _, p := range m.entries {
+			p.SetUpstreams(newRig(40, 0, 0).records)
+		}
+		m.run(20 * time.Second)
+		served := 0
+		for _, s := range m.seconds[len(m.seconds)-seconds:] {
+			for _, c := range s {
+				served += c.got
+			}
+		}
+		Expect(served).To(BeNumerically(">", 900_000*seconds))
+	})
+
 	It("refuse nothing while the capacity covers what is requested", func() {
 		m := overloadedFleet()
 		for i := range m.callers {
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -50,6 +50,7 @@
 	loads      []cleat.UpstreamLoad
 	outputs    []byte // See cleat.PlacementReport.
 	usage      []cleat.WorkspaceUsage
+	flow       flow
 }
 
 // Planner places the requests of one entry.
@@ -103,7 +104,8 @@
 // capacity of all engines, in cost units per second, or zero when the manifest does
 // not state it.
 func (p *Planner) SetServices(list []cleat.Service, tokensPerSec float64) {
-	p.usage.capacity = tokensPerSec * p.cfg.UsageWindow.Seconds()
+	p.usage.stated = tokensPerSec * p.cfg.UsageWindow.Seconds()
+	p.usage.capacity = p.usage.stated * p.usage.served.value()
 	p.setColdServices(list)
 	clear(p.engines)
 	for i := range list {
@@ -171,6 +173,7 @@
 // it returns its verdict, or false when the job waits.
 func (p *Planner) Submit(now time.Time, j *Job) (Verdict, bool) {
 	p.updateJoining(now)
+	p.usage.updateCapacity(now)
 	if len(j.Tried) == 0 {
 		p.countRequest(now, j)
 		p.countPrompt(j)
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -42,18 +42,20 @@
 // workspace over a sliding window.
 type workspaceUsage struct {
 	requested, admitted, started [windowBuckets]int
-	peers                        peerUsage // At other entries.
-	newest                       int64     // Number of the newest bucket.
-	activeSince                  time.Time // When requests came after none in the newest buckets.
-	overSince                    time.Time // Since when its demand has exceeded its share; zero while it doesn't.
-	credit                       credit    // Within the workspace's share.
-	spareCredit                  credit    // Beyond the share, at engines with spare time.
+	noRoom                       [windowBuckets]int // Refused for lack of room, within the share.
+	peers                        peerUsage          // At other entries.
+	newest                       int64              // Number of the newest bucket.
+	activeSince                  time.Time          // When requests came after none in the newest buckets.
+	overSince                    time.Time          // Since when its demand has exceeded its share; zero while it doesn't.
+	credit                       credit             // Within the workspace's share.
+	spareCredit                  credit             // Beyond the share, at engines with spare time.
 	refused                      RefusalCounts
 }
 
 func (u *workspaceUsage) advance(bucket int64) {
 	for n := max(u.newest+1, bucket-windowBuckets+1); n <= bucket; n++ {
 		u.requested[n%windowBuckets], u.admitted[n%windowBuckets], u.started[n%windowBuckets] = 0, 0, 0
+		u.noRoom[n%windowBuckets] = 0
 	}
 	u.newest = max(u.newest, bucket)
 }
@@ -87,7 +89,10 @@
 	window      time.Duration
 	epoch       time.Time // When the first bucket began.
 	rows        map[cleat.WorkspaceID]*workspaceUsage
-	capacity    float64 // Cost units that all engines can serve in a window; zero when not known.
+	stated      float64 // Cost units that all engines can serve in a window by the manifest; zero when not known.
+	capacity    float64 // The part of these that is in use; see servedCapacity.
+	served      servedCapacity
+	peerFlow    flow    // At other entries.
 	fairShare   float64 // Max-min share as of fairShareAt.
 	fairShareAt time.Time
 	newDemand   int // Cost units requested here since fairShareAt.
@@ -135,6 +140,7 @@
 
 // countRefused counts a refused job by its reason.
 func (u *usageTable) countRefused(now time.Time, j *Job, r Reason) {
+	u.countNoRoom(now, j, r)
 	c := &u.row(now, j.Workspace).refused
 	switch r {
 	case ReasonOverShare:
