Keep half of the retries for workspaces within their shares

Retries were granted first come, first served. Half of an entry's budget is now kept for workspaces that don't request more than their share; the line repeat says over_share. A spec on the budget: with 1,000 requests the others get as many retries as those over their shares.

--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -89,8 +89,21 @@
 	c.requests[c.newestBucket%(buckets+1)]++
 }
 
+// overShareFraction is the fraction of an entry's retries that workspaces over their
+// shares may use. The rest is kept for those within: when many requests fail, they would
+// otherwise lose the same part of them as the others, who make up for it with more.
+const overShareFraction = 0.5
+
 // AllowRetry reports whether a request may be retried now, and counts the retry if so.
-func (b *Budget) AllowRetry(now time.Time, s cleat.ServiceName) bool {
+func (b *Budget) AllowRetry(now time.Time, s cleat.ServiceName) bool { return b.allow(now, s, 1) }
+
+// AllowOverShareRetry is AllowRetry for the request of a workspace that has recently
+// requested more than its share.
+func (b *Budget) AllowOverShareRetry(now time.Time, s cleat.ServiceName) bool {
+	return b.allow(now, s, overShareFraction)
+}
+
+func (b *Budget) allow(now time.Time, s cleat.ServiceName, fraction float64) bool {
 	c := b.countsFor(now, s)
 	requests, retries := 0, 0
 	for i := range c.requests {
@@ -98,7 +111,7 @@
 		retries += c.retries[i]
 	}
 	limit := ratioFraction*b.cfg.Ratio*float64(requests) + slackFraction*b.cfg.Slack/float64(b.entries)*b.accrued(now)
-	if float64(retries+1) > limit {
+	if float64(retries+1) > fraction*limit {
 		return false
 	}
 	c.retries[c.newestBucket%(buckets+1)]++
--- a/policy/budget/budget_test.go
+++ b/policy/budget/budget_test.go
@@ -71,6 +71,23 @@
 		Expect(b.AllowRetry(start.Add(12*time.Second), service)).To(BeTrue())
 	})
 
+	// FAIR on qila-ops-grown: the first to fail used up the retries.
+	It("keeps half of the retries for workspaces within their shares", func() {
+		b := budget.New(cfg)
+		for range 1000 {
+			b.RecordRequest(start, service)
+		}
+		over, within := 0, 0
+		for b.AllowOverShareRetry(start, service) {
+			over++
+		}
+		for b.AllowRetry(start, service) {
+			within++
+		}
+		Expect(over).To(BeNumerically(">", 80))
+		Expect(within).To(BeNumerically(">=", over))
+	})
+
 	It("counts each service separately", func() {
 		b := budget.New(budget.Config{Ratio: 0, Slack: 2, Window: time.Second})
 		Expect(b.AllowRetry(start, "a")).To(BeTrue())
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -120,13 +120,24 @@
 	if x.attempts == 0 {
 		return true
 	}
-	x.role.mu.Lock()
-	allowed := x.role.budget.AllowRetry(x.role.clock.Now(), x.service)
-	x.role.mu.Unlock()
-	x.logDecision("repeat", "upstream", tried.Upstream, "version", tried.Version, "attempts", x.attempts, "allowed", allowed, "after_event", x.events.lastID)
+	isOver, allowed := x.takeRetry()
+	x.logDecision("repeat", "upstream", tried.Upstream, "version", tried.Version, "attempts", x.attempts, "allowed", allowed, "over_share", isOver, "after_event", x.events.lastID)
 	return allowed
 }
 
+// takeRetry reports whether the request's workspace exceeds its share, and whether the
+// retry budget allows another attempt, which is then counted.
+func (x *exchange) takeRetry() (isOver, allowed bool) {
+	r := x.role
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if r.planner.ExceedsShare(now, x.service, x.workspace) {
+		return true, r.budget.AllowOverShareRetry(now, x.service)
+	}
+	return false, r.budget.AllowRetry(now, x.service)
+}
+
 // endCanceled ends a request whose caller disconnected, or whose deadline passed while
 // no upstream ran it.
 func (x *exchange) endCanceled() {
