--- a/placement.go
+++ b/placement.go
@@ -55,9 +55,10 @@
 	Leaving      bool             `msgpack:"x,omitempty"` // The sender shuts down and gets no further requests.
 	Partial      bool             `msgpack:"i,omitempty"` // Sent when a link has come up, without CachedBlocks, Limits and Cold.
 
-	PlacedTokens uint32  `msgpack:"t,omitempty"` // Tokens of all workspaces that were dispatched in the last part of the usage window.
-	NoRoomTokens uint32  `msgpack:"n,omitempty"` // Those that were refused although their workspace was within its share.
-	CapacityPart float32 `msgpack:"y,omitempty"` // The part of the stated capacity that the sender divides into shares.
+	PlacedTokens  uint32  `msgpack:"t,omitempty"` // Tokens of all workspaces that were dispatched in the last part of the usage window.
+	StartedTokens uint32  `msgpack:"s,omitempty"` // Those whose first event came in that time.
+	NoRoomTokens  uint32  `msgpack:"n,omitempty"` // Those that were refused although their workspace was within its share.
+	CapacityPart  float32 `msgpack:"y,omitempty"` // The part of the stated capacity that the engines serve by the sender's figures.
 }
 
 // ColdUpstream tells another entry what the sender observed itself about an upstream that may be cold.
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -51,6 +51,8 @@
 	outputs    []byte // See cleat.PlacementReport.
 	usage      []cleat.WorkspaceUsage
 	flow       flow
+
+	capacityPart float64 // Of the stated capacity, as it counts; zero when not reported.
 }
 
 // Planner places the requests of one entry.
@@ -105,7 +107,7 @@
 // not state it.
 func (p *Planner) SetServices(list []cleat.Service, tokensPerSec float64) {
 	p.usage.stated = tokensPerSec * p.cfg.UsageWindow.Seconds()
-	p.usage.capacity = p.usage.stated * p.usage.served.value()
+	p.usage.setCapacity()
 	p.setColdServices(list)
 	clear(p.engines)
 	for i := range list {
--- a/policy/place/planner_test.go
+++ b/policy/place/planner_test.go
@@ -370,7 +370,7 @@
 		r.submit(r.prompt("w", 1, 0, 900, 50))
 		const rate = 1000 * 11200.0 / 11500 // This entry's part of the share.
 		Expect(r.OversubscribedUsage(r.now)).To(Equal([]place.ShareUsage{{
-			Workspace: "w", Share: 4000, Requested: 4 * 11200, Admitted: 10200, Started: 5100, RequestedElsewhere: 300, AdmittedElsewhere: 200,
+			Workspace: "w", Capacity: 4000, Share: 4000, Requested: 4 * 11200, Admitted: 10200, Started: 5100, RequestedElsewhere: 300, AdmittedElsewhere: 200,
 			Rate: rate, Credit: 100 - 5100 + rate, ReportAge: time.Second, Refused: place.RefusalCounts{OverShare: 1},
 		}}))
 	})
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -49,10 +49,10 @@
 	return m
 }
 
-// addFlow adds what this entry recently placed and refused for lack of room.
+// addFlow adds what became of this entry's recent jobs.
 func (p *Planner) addFlow(now time.Time, m *cleat.PlacementReport) {
 	f := p.usage.recentFlow(now)
-	m.PlacedTokens, m.NoRoomTokens = uint32(f.placed), uint32(f.refused)
+	m.PlacedTokens, m.StartedTokens, m.NoRoomTokens = uint32(f.placed), uint32(f.started), uint32(f.noRoom)
 	m.CapacityPart = float32(p.usage.served.value())
 }
 
@@ -83,7 +83,8 @@
 	}
 	p.usage.countDemandReport(now, q.receivedAt)
 	p.addPeerReport(q, -1)
-	*q = peer{seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs, flow: flow{placed: int(m.PlacedTokens), refused: int(m.NoRoomTokens)}}
+	*q = peer{seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs, capacityPart: float64(m.CapacityPart)}
+	q.flow = flow{placed: int(m.PlacedTokens), started: int(m.StartedTokens), noRoom: int(m.NoRoomTokens)}
 	p.addPeerReport(q, 1)
 	p.usage.adoptCapacity(float64(m.CapacityPart))
 	if p.updateJoining(now); m.Partial {
@@ -119,7 +120,7 @@
 	for _, r := range p.usage.rows {
 		r.peers = peerUsage{}
 	}
-	p.usage.peerFlow = flow{}
+	p.usage.served.peers, p.usage.served.peerParts, p.usage.served.reporting = flow{}, 0, 0
 	for _, q := range p.peers {
 		p.addPeerReport(q, 1)
 	}
@@ -127,8 +128,7 @@
 
 // addPeerReport adds an entry's report to the sums, or subtracts it with sign -1.
 func (p *Planner) addPeerReport(q *peer, sign int) {
-	p.usage.peerFlow.placed += sign * q.flow.placed
-	p.usage.peerFlow.refused += sign * q.flow.refused
+	p.usage.served.addPeer(q, sign)
 	for i, l := range q.loads {
 		if u, ok := p.upstreams[l.Upstream]; ok {
 			u.peers.add(l, sign)
