--- a/policy/place/capacity.go
+++ b/policy/place/capacity.go
@@ -9,13 +9,13 @@
 // workspace's share is refused for lack of room.
 
 const (
-	// pressedRefusals is the part of what is placed above which refusals for lack of room
-	// mean that the engines serve less than the capacity in use.
-	pressedRefusals = 0.1
-	// pressedDelay is how long that must last before the capacity is lowered, and the time
-	// between two steps down: at the begin of a crowd little has been placed yet, and a
-	// step takes a while to show.
-	pressedDelay = time.Second
+	// saturatedRatio is the ratio of what is refused for lack of room to what is placed
+	// above which the engines serve less than the capacity in use.
+	saturatedRatio = 0.1
+	// saturatedTime is how long that must last before the capacity is lowered, and the time
+	// between two steps down: when a crowd arrives little has been placed yet, and a step
+	// takes a while to show.
+	saturatedTime = time.Second
 	// firstCapacityStep and capacityStep bound a step down from the stated capacity and
 	// from a lower one, as parts of it.
 	firstCapacityStep, capacityStep = 0.4, 0.8
@@ -28,7 +28,7 @@
 	capacityInterval = 100 * time.Millisecond
 )
 
-// flow is what jobs became of in the newest buckets, in cost units.
+// flow is what became of recent jobs, in cost units.
 type flow struct {
 	placed  int
 	started int
@@ -44,12 +44,12 @@
 // servedCapacity is the part of the stated capacity that the engines serve, as far as
 // refusals show.
 type servedCapacity struct {
-	part         float64   // Of the stated capacity, at most 1; zero stands for 1.
-	updatedAt    time.Time // Zero before the first update.
-	pressedSince time.Time // Zero while the refusals are few.
-	peers        flow      // At other entries.
-	peerParts    float64   // Sum of the parts that other entries report.
-	reporting    int       // Entries that report one.
+	part           float64   // Of the stated capacity, at most 1; zero stands for 1.
+	updatedAt      time.Time // Zero before the first update.
+	saturatedSince time.Time // Zero while the refusals are few.
+	peers          flow      // At other entries.
+	peerParts      float64   // Sum of the parts that other entries report.
+	reporting      int       // Entries that report one.
 }
 
 // value returns the part of the stated capacity by this entry's figures.
@@ -75,18 +75,18 @@
 		dt = 0
 	}
 	c.updatedAt = now
-	if refusedRatio <= pressedRefusals {
-		c.pressedSince = time.Time{}
+	if refusedRatio <= saturatedRatio {
+		c.saturatedSince = time.Time{}
 		c.part = min(1, c.value()*(1+capacityRise*dt.Seconds()))
 		return
 	}
-	if c.pressedSince.IsZero() {
-		c.pressedSince = now
+	if c.saturatedSince.IsZero() {
+		c.saturatedSince = now
 	}
-	if now.Sub(c.pressedSince) < pressedDelay {
+	if now.Sub(c.saturatedSince) < saturatedTime {
 		return
 	}
-	c.pressedSince = now
+	c.saturatedSince = now
 	step := capacityStep
 	if c.value() == 1 {
 		step = firstCapacityStep
