--- a/policy/place/share_test.go
+++ b/policy/place/share_test.go
@@ -55,6 +55,27 @@
 		Expect(refused).To(BeNumerically(">", 200))
 	})
 
+	// A few prompts that no engine could take in time lowered the capacity in use.
+	It("divide the stated capacity while less than that is requested", func() {
+		const stated = 100000
+		r := newRig(1, 0, stated)
+		for i := range 100 {
+			r.now = r.now.Add(100 * time.Millisecond)
+			if i%5 == 0 {
+				if v, decided := r.Submit(r.now, r.prompt("w", 1, 0, 500, 10)); decided && v.Placed() {
+					r.RecordFirstEvent(r.now, v.Job)
+					r.RecordEnd(r.now, v.Job, place.OutcomeServed)
+				}
+			}
+			if i%40 == 20 {
+				for range 7 {
+					r.Submit(r.now, r.prompt("w", 1, 0, 9000, 10))
+				}
+			}
+			Expect(r.ShareUsage(r.now, "w").Capacity).To(Equal(4.0 * stated))
+		}
+	})
+
 	// Callers got 502 over_share when an admitted request was to be repeated.
 	It("allow the repetition of a request that was admitted", func() {
 		r := newRig(40, 0, tokensPerSec)
