Report and log what is started for each workspace at all entries

Change: placement reports carry, by workspace, what was started in the usage window and what is sent without a first event; usage lines show started_elsewhere and pending. No decision uses them yet.

--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -7,6 +7,7 @@
 	if u := j.upstream; u != nil {
 		u.heardAt = now
 		if !j.hasFirstEvent {
+			p.usage.addPending(now, j.Workspace, -j.costUnits())
 			p.usage.addStarted(now, j.Workspace, j.costUnits())
 		}
 		u.speed.RecordSlowness(now, j.Slowness)
@@ -63,6 +64,9 @@
 	if u == nil {
 		return
 	}
+	if !j.hasFirstEvent {
+		p.usage.addPending(now, j.Workspace, -j.costUnits())
+	}
 	if !j.hasFirstEvent && o != OutcomeCanceled {
 		j.refund()
 		p.usage.addAdmitted(now, j.Workspace, -j.costUnits())
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -368,6 +368,7 @@
 	u.addJob(now, j)
 	p.jobs[j.ID] = j
 	p.usage.addAdmitted(now, j.Workspace, j.costUnits())
+	p.usage.addPending(now, j.Workspace, j.costUnits())
 	return Verdict{Job: j, Upstream: u.record, FetchFrom: fetchFrom, PrefillTokens: j.prefill, ExpectedOutput: int(j.output.remaining), BacklogTokens: j.backlogAhead}
 }
 
--- a/policy/place/planner_test.go
+++ b/policy/place/planner_test.go
@@ -365,12 +365,12 @@
 		Expect(r.submit(j).Placed()).To(BeTrue())
 		r.submit(r.prompt("w", 1, 0, 5000, 50))
 		r.RecordFirstEvent(r.now, j)
-		r.ApplyReport(r.now, "other", &cleat.PlacementReport{Seq: 1, Usage: []cleat.WorkspaceUsage{{Workspace: "w", RequestedTokens: 300, AdmittedTokens: 200, RecentTokens: 300}}})
+		r.ApplyReport(r.now, "other", &cleat.PlacementReport{Seq: 1, Usage: []cleat.WorkspaceUsage{{Workspace: "w", RequestedTokens: 300, AdmittedTokens: 200, RecentTokens: 300, StartedTokens: 150, PendingTokens: 50}}})
 		r.now = r.now.Add(time.Second)
 		r.submit(r.prompt("w", 1, 0, 900, 50))
 		const rate = 1000 * 11200.0 / 11500 // This entry's part of the share.
 		Expect(r.OversubscribedUsage(r.now)).To(Equal([]place.ShareUsage{{
-			Workspace: "w", Capacity: 4000, Share: 4000, Requested: 4 * 11200, Admitted: 10200, Started: 5100, RequestedElsewhere: 300, AdmittedElsewhere: 200,
+			Workspace: "w", Capacity: 4000, Share: 4000, Requested: 4 * 11200, Admitted: 10200, Started: 5100, RequestedElsewhere: 300, AdmittedElsewhere: 200, StartedElsewhere: 150, Pending: 5100 + 50,
 			Rate: rate, Credit: 100 - 5100 + rate, ReportAge: time.Second, Refused: place.RefusalCounts{OverShare: 1},
 		}}))
 	})
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -144,6 +144,8 @@
 		r.peers.requested += sign * int(w.RequestedTokens)
 		r.peers.admitted += sign * int(w.AdmittedTokens)
 		r.peers.recent += sign * int(w.RecentTokens)
+		r.peers.started += sign * int(w.StartedTokens)
+		r.peers.pending += sign * int(w.PendingTokens)
 	}
 }
 
@@ -168,8 +170,7 @@
 	}
 }
 
-// peerUsage is the sum of the cost units that other entries report as requested by
-// and admitted for a workspace.
+// peerUsage is the sum of the cost units that other entries report for a workspace.
 type peerUsage struct {
-	requested, admitted, recent int
+	requested, admitted, recent, started, pending int
 }
--- a/policy/place/share_usage.go
+++ b/policy/place/share_usage.go
@@ -16,6 +16,8 @@
 	Share                                 float64       // Of the whole fleet's capacity; infinite when it covers all demand.
 	Requested, Admitted, Started          int           // At this entry; started requests have a first event.
 	RequestedElsewhere, AdmittedElsewhere int           // At other entries, by their last reports.
+	StartedElsewhere                      int           // At other entries, by their last reports.
+	Pending                               int           // Sent and without a first event, at all entries.
 	Rate, Credit                          float64       // At which this entry admits, in units per second, and what it may admit now.
 	ReportAge                             time.Duration // Age of the oldest report that counts.
 	Refused                               RefusalCounts
@@ -32,6 +34,7 @@
 	return ShareUsage{
 		Workspace: w, Capacity: u.ownCapacity(), Share: u.share(now), Requested: u.demand(now, r), Admitted: sum(r.admitted), Started: sum(r.started),
 		RequestedElsewhere: r.peers.requested, AdmittedElsewhere: r.peers.admitted,
+		StartedElsewhere: r.peers.started, Pending: r.pending + r.peers.pending,
 		Rate: u.localRate(now, r), Credit: r.credit.units, Refused: r.refused,
 	}
 }
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -42,6 +42,7 @@
 // workspace over a sliding window.
 type workspaceUsage struct {
 	requested, admitted, started [windowBuckets]int
+	pending                      int                // Sent and without a first event.
 	noRoom                       [windowBuckets]int // Refused for lack of room, within the share.
 	peers                        peerUsage          // At other entries.
 	newest                       int64              // Number of the newest bucket.
@@ -154,6 +155,12 @@
 	}
 }
 
+// addPending adds the units of a job that is sent, or takes back those of one that starts
+// or ends.
+func (u *usageTable) addPending(now time.Time, w cleat.WorkspaceID, units int) {
+	u.row(now, w).pending += units
+}
+
 func (u *usageTable) addStarted(now time.Time, w cleat.WorkspaceID, units int) {
 	r := u.row(now, w)
 	r.started[r.newest%windowBuckets] += units
@@ -220,8 +227,11 @@
 	for w := range u.rows {
 		r := u.row(now, w)
 		requested, admitted := u.demand(now, r), sum(r.admitted)
-		if requested > 0 || admitted > 0 {
-			list = append(list, cleat.WorkspaceUsage{Workspace: w, RequestedTokens: uint32(requested), AdmittedTokens: uint32(admitted), RecentTokens: uint32(r.recent())})
+		if requested > 0 || admitted > 0 || r.pending > 0 {
+			list = append(list, cleat.WorkspaceUsage{
+				Workspace: w, RequestedTokens: uint32(requested), AdmittedTokens: uint32(admitted), RecentTokens: uint32(r.recent()),
+				StartedTokens: uint32(sum(r.started)), PendingTokens: uint32(r.pending),
+			})
 		}
 	}
 	return list
