Room at engines by what was started for a workspace

Callers of light workspaces were refused as often as those of heavy ones, or more, whenever engines started less than was admitted: shares divide a capacity that was stated or learnt from refusals, and nothing compared them with what was started. The capacity learnt from refusals (served-capacity.md) fell with a lack of demand and with jobs that hang, and cost what it divided away. Change: each entry compares what the engines started for each workspace, at all entries, with what it requested or the best served one got. The further a workspace is ahead of the worst served one, the less room its jobs find at engines, the slower its credit accrues and the less it may use beyond its share. The learnt capacity, its four report fields and the bound on spare shares by admissions are gone; late retries of a worst served workspace aren't refused.

--- a/placement.go
+++ b/placement.go
@@ -36,9 +36,9 @@
 // An expected output token counts twice, and each request counts as at least one token.
 type WorkspaceUsage struct {
 	Workspace       WorkspaceID `msgpack:"w,intern"`
-	RequestedTokens uint32      `msgpack:"a"` // In the sender's sliding usage window.
-	AdmittedTokens  uint32      `msgpack:"s"` // Those of RequestedTokens that were dispatched to an upstream.
-	RecentTokens    uint32      `msgpack:"r"` // Those of RequestedTokens in the last part of the window.
+	RequestedTokens uint32      `msgpack:"a"`           // In the sender's sliding usage window.
+	AdmittedTokens  uint32      `msgpack:"s"`           // Those of RequestedTokens that were dispatched to an upstream.
+	RecentTokens    uint32      `msgpack:"r"`           // Those of RequestedTokens in the last part of the window.
 	StartedTokens   uint32      `msgpack:"t,omitempty"` // Those whose first event came in the window.
 	PendingTokens   uint32      `msgpack:"p,omitempty"` // Those that were dispatched and have no first event yet.
 }
@@ -56,11 +56,6 @@
 	Cold         []ColdUpstream   `msgpack:"c,omitempty"` // As Limits.
 	Leaving      bool             `msgpack:"x,omitempty"` // The sender shuts down and gets no further requests.
 	Partial      bool             `msgpack:"i,omitempty"` // Sent when a link has come up, without CachedBlocks, Limits and Cold.
-
-	PlacedTokens  uint32  `msgpack:"t,omitempty"` // Tokens of all workspaces that were dispatched in the last part of the usage window.
-	StartedTokens uint32  `msgpack:"s,omitempty"` // Those whose first event came in that time.
-	NoRoomTokens  uint32  `msgpack:"n,omitempty"` // Those that were refused although their workspace was within its share.
-	CapacityPart  float32 `msgpack:"y,omitempty"` // The part of the stated capacity that the engines serve by the sender's figures.
 }
 
 // ColdUpstream tells another entry what the sender observed itself about an upstream that may be cold.
--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -15,6 +15,7 @@
 // or nil.
 func (p *Planner) chooseUpstream(now time.Time, j *Job) *upstream {
 	late := p.isLate(now, j)
+	j.headroom = p.usage.headroom(now, j.Workspace)
 	j.source = p.findSource(now, j)
 	p.estimateOutput(now, j)
 	var best *upstream
@@ -90,9 +91,11 @@
 		return 0, false
 	}
 	cost := wait + penalty + interference + cacheMissCost(j, u, cached) + p.permitCost(now, u, prefill) + u.outputCost(j, prefill)
+	queued := time.Duration(float64(u.expectedWait(0)) / j.headroom)
 	if late {
-		return cost, u.expectedWait(0) <= p.cfg.LateBacklog
+		return cost, queued <= p.cfg.LateBacklog
 	}
+	wait += queued - u.expectedWait(0)
 	return cost, !now.Add(waitSafetyTenths*wait/10 + p.cfg.Margin).After(j.Target)
 }
 
@@ -245,6 +248,7 @@
 	if now.Add(idle + p.cfg.Margin).After(j.Target) {
 		limit = j.Target.Add(j.Deadline.Sub(j.Target) / lateWaitDivisor)
 	}
+	wait = time.Duration(float64(wait) / p.usage.headroom(now, j.Workspace))
 	if now.Add(wait + idle).After(limit) {
 		retry := min(max(wait, p.cfg.MaxRetryAfter/8), p.cfg.MaxRetryAfter)
 		return Verdict{Job: j, Reason: reason, RetryAfter: retry}, true
--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -30,9 +30,10 @@
 	charged       *credit // Credit that the job was charged to; nil if none.
 	isRetry       bool    // The caller was refused before.
 	upstream      *upstream
-	source        source // As of the last choice of an upstream.
-	prefill       int    // Prompt tokens that the upstream has to prefill.
-	memory        int    // Tokens that the job takes of the engine's memory.
+	source        source  // As of the last choice of an upstream.
+	headroom      float64 // Fraction of the room at engines that it may use; as of the last choice of an upstream.
+	prefill       int     // Prompt tokens that the upstream has to prefill.
+	memory        int     // Tokens that the job takes of the engine's memory.
 	output        jobOutput
 	hasFirstEvent bool
 	hasPermit     bool          // It took a permit of its upstream, which has a rate limit.
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -50,9 +50,6 @@
 	loads      []cleat.UpstreamLoad
 	outputs    []byte // See cleat.PlacementReport.
 	usage      []cleat.WorkspaceUsage
-	flow       flow
-
-	capacityPart float64 // Of the stated capacity, as it counts; zero when not reported.
 }
 
 // Planner places the requests of one entry.
@@ -106,8 +103,7 @@
 // capacity of all engines, in cost units per second, or zero when the manifest does
 // not state it.
 func (p *Planner) SetServices(list []cleat.Service, tokensPerSec float64) {
-	p.usage.stated = tokensPerSec * p.cfg.UsageWindow.Seconds()
-	p.usage.setCapacity()
+	p.usage.capacity = tokensPerSec * p.cfg.UsageWindow.Seconds()
 	p.setColdServices(list)
 	clear(p.engines)
 	for i := range list {
@@ -175,7 +171,6 @@
 // it returns its verdict, or false when the job waits.
 func (p *Planner) Submit(now time.Time, j *Job) (Verdict, bool) {
 	p.updateJoining(now)
-	p.usage.updateCapacity(now)
 	if len(j.Tried) == 0 {
 		p.countRequest(now, j)
 		p.countPrompt(j)
@@ -239,7 +234,7 @@
 		j.charge(c)
 		return Verdict{}, false
 	}
-	if j.isRetry && p.usage.isOversubscribed(now, j.Workspace) && p.isLate(now, j) {
+	if j.isRetry && p.usage.isOversubscribed(now, j.Workspace) && !p.usage.isWorstServed(now, j.Workspace) && p.isLate(now, j) {
 		return Verdict{Job: j, Reason: ReasonLateRetry, RetryAfter: p.shareRetryAfter(now, j)}, true
 	}
 	if c, ok := p.usage.withinShare(now, j); ok {
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -12,7 +12,6 @@
 	p.seq++
 	m := &cleat.PlacementReport{Seq: p.seq, CachedBlocks: p.newBlocks, Usage: p.usage.report(now), Limits: p.limits.Report(now), Cold: p.limits.ColdReport(now), Leaving: p.leaving}
 	p.newBlocks = nil
-	p.addFlow(now, m)
 	for id, u := range p.upstreams {
 		recent := u.recentPrefill.sum(now)
 		v := p.reportSpeed(now, u)
@@ -39,7 +38,6 @@
 // up. The next report holds the rest.
 func (p *Planner) Introduction(now time.Time) *cleat.PlacementReport {
 	m := &cleat.PlacementReport{Seq: p.seq, Partial: true, Usage: p.usage.report(now)}
-	p.addFlow(now, m)
 	for id, u := range p.upstreams {
 		if recent := u.recentPrefill.sum(now); len(u.jobs) > 0 || recent > 0 {
 			m.Loads = append(m.Loads, u.load(now, id, recent))
@@ -49,13 +47,6 @@
 	return m
 }
 
-// addFlow adds what became of this entry's recent jobs.
-func (p *Planner) addFlow(now time.Time, m *cleat.PlacementReport) {
-	f := p.usage.recentFlow(now)
-	m.PlacedTokens, m.StartedTokens, m.NoRoomTokens = uint32(f.placed), uint32(f.started), uint32(f.noRoom)
-	m.CapacityPart = float32(p.usage.served.value())
-}
-
 // RecordLinked records that a link to another entry has come up. That entry may have
 // restarted, and counts its reports anew then.
 func (p *Planner) RecordLinked(entry cleat.InstanceID) {
@@ -83,10 +74,8 @@
 	}
 	p.usage.countDemandReport(now, q.receivedAt)
 	p.addPeerReport(q, -1)
-	*q = peer{seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs, capacityPart: float64(m.CapacityPart)}
-	q.flow = flow{placed: int(m.PlacedTokens), started: int(m.StartedTokens), noRoom: int(m.NoRoomTokens)}
+	*q = peer{seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs}
 	p.addPeerReport(q, 1)
-	p.usage.adoptCapacity(float64(m.CapacityPart))
 	if p.updateJoining(now); m.Partial {
 		return
 	}
@@ -120,7 +109,6 @@
 	for _, r := range p.usage.rows {
 		r.peers = peerUsage{}
 	}
-	p.usage.served.peers, p.usage.served.peerParts, p.usage.served.reporting = flow{}, 0, 0
 	for _, q := range p.peers {
 		p.addPeerReport(q, 1)
 	}
@@ -128,7 +116,6 @@
 
 // addPeerReport adds an entry's report to the sums, or subtracts it with sign -1.
 func (p *Planner) addPeerReport(q *peer, sign int) {
-	p.usage.served.addPeer(q, sign)
 	for i, l := range q.loads {
 		if u, ok := p.upstreams[l.Upstream]; ok {
 			u.peers.add(l, sign)
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -51,12 +51,9 @@
 	// spareShares is what may be admitted for a workspace beyond its share while engines
 	// have spare time, as a multiple of the share.
 	spareShares = 0.5
-	// maxServedRatio bounds that further: what a workspace gets with it, as a multiple of
-	// what is admitted for the worst served one with more demand than its share.
-	maxServedRatio = 1.6
-	// minServedSpan is how long a workspace must have more demand than its share for it
-	// to count: reports on what is admitted for it come later than those on its demand.
-	minServedSpan = time.Second
+	// spareSlope is the fraction of that which a workspace loses for each unit of headroom
+	// that it lacks.
+	spareSlope = 3
 )
 
 // withinShare reports whether a job of a workspace is within the workspace's share at
@@ -68,7 +65,7 @@
 	}
 	r := u.row(now, j.Workspace)
 	u.open(now, &r.credit, j)
-	r.credit.refill(now, u.localRate(now, r))
+	r.credit.refill(now, u.headroom(now, j.Workspace)*u.localRate(now, r))
 	return &r.credit, u.totalDemand(now, r) <= u.share(now) || r.credit.units > 0
 }
 
@@ -76,7 +73,7 @@
 func (u *usageTable) withinSpare(now time.Time, j *Job) (*credit, bool) {
 	r := u.row(now, j.Workspace)
 	u.open(now, &r.spareCredit, j)
-	r.spareCredit.refill(now, u.spareFraction(now)*u.localRate(now, r))
+	r.spareCredit.refill(now, u.spareFraction(now, j.Workspace)*u.localRate(now, r))
 	return &r.spareCredit, r.spareCredit.units > 0
 }
 
@@ -90,33 +87,13 @@
 	}
 }
 
-// spareFraction returns what may be admitted beyond a share, as a fraction of it. While
-// an entry is too busy to admit the share of a workspace behind it, the others must not
-// get much more.
-func (u *usageTable) spareFraction(now time.Time) float64 {
+// spareFraction returns what may be admitted beyond a share, as a fraction of it. It is
+// zero soon after the workspace is better served than another one.
+func (u *usageTable) spareFraction(now time.Time, w cleat.WorkspaceID) float64 {
 	if u.joining.active {
 		return 0
 	}
-	u.share(now)
-	return min(max(0, maxServedRatio*u.leastServed-1), spareShares)
-}
-
-// recordServed updates leastServed for a share.
-func (u *usageTable) recordServed(now time.Time, share float64) {
-	u.leastServed = 1
-	for _, r := range u.rows {
-		if u.totalDemand(now, r) <= oversubscribedShares*share {
-			r.overSince = time.Time{}
-			continue
-		}
-		if r.overSince.IsZero() {
-			r.overSince = now
-		}
-		if span := min(now.Sub(r.overSince), u.window); span >= minServedSpan {
-			admitted := float64(sum(r.admitted) + r.peers.admitted)
-			u.leastServed = min(u.leastServed, admitted/share*float64(u.window)/float64(span))
-		}
-	}
+	return spareShares * max(0, 1-spareSlope*(1-u.headroom(now, w)))
 }
 
 // IsWithinShare counts the request of a job that may be submitted later, and reports
@@ -164,7 +141,7 @@
 func (u *usageTable) share(now time.Time) float64 {
 	if now.Sub(u.fairShareAt) >= shareInterval || float64(u.newDemand) > u.ownCapacity()*float64(shareInterval)/float64(u.window) {
 		u.fairShareAt, u.fairShare, u.newDemand = now, u.maxMinShare(now), 0
-		u.recordServed(now, u.fairShare)
+		u.updateStandings(now)
 	}
 	return u.fairShare
 }
--- /dev/null
+++ b/policy/place/standing.go
@@ -0,0 +1,68 @@
+package place
+
+import (
+	"time"
+
+	"marigoldcleat.example/cleat"
+)
+
+// Load pattern of this file: the engines start less than is requested, for whatever
+// reason: they are too few, slow, cold, or fail a part of the requests. Shares divide the
+// stated capacity and limit too little then, and a light workspace would be refused for
+// lack of room as often as a heavy one. What the engines started for each workspace
+// decides instead: the better a workspace is served than the worst served one, the earlier
+// its jobs find the engines full. What can't be served is so taken from the best served.
+
+const (
+	// headroomSlope is the fraction of the room at engines that a workspace loses for each
+	// unit by which its standing exceeds the lowest one by more than standingTolerance.
+	headroomSlope = 2
+	// standingTolerance covers reports that are late.
+	standingTolerance = 0.1
+	// minHeadroom is the least fraction of the room that a workspace finds.
+	minHeadroom = 0.1
+	// standingSlack is how many requests of mean cost a workspace may lack: a few that wait
+	// or are refused tell nothing about one that requests little.
+	standingSlack = 3
+	// meanCostSmoothing is the EWMA weight of one request in the mean cost.
+	meanCostSmoothing = 0.02
+)
+
+// served returns the cost units that all entries recently got started for a workspace, and
+// those of its jobs that may still start.
+func (r *workspaceUsage) served() float64 {
+	return float64(sum(r.started) + r.peers.started + r.pending + r.peers.pending)
+}
+
+// updateStandings computes how well each workspace is served: what it got, as a fraction of
+// what it requested or the best served workspace got, whichever is less.
+func (u *usageTable) updateStandings(now time.Time) {
+	best := 0.0
+	for w := range u.rows {
+		best = max(best, u.row(now, w).served())
+	}
+	u.lowestStanding, u.highestStanding = 1, 0
+	for _, r := range u.rows {
+		r.standing = 1
+		if entitled := min(u.totalDemand(now, r), best); entitled > 0 {
+			r.standing = min(1, (r.served()+standingSlack*u.meanCost)/entitled)
+			u.lowestStanding, u.highestStanding = min(u.lowestStanding, r.standing), max(u.highestStanding, r.standing)
+		}
+	}
+}
+
+// headroom returns the fraction of the room at engines that jobs of a workspace may use,
+// from minHeadroom to 1.
+func (u *usageTable) headroom(now time.Time, w cleat.WorkspaceID) float64 {
+	u.share(now)
+	lead := u.row(now, w).standing - u.lowestStanding - standingTolerance
+	return min(max(1-headroomSlope*lead, minHeadroom), 1)
+}
+
+// isWorstServed reports whether a workspace gets clearly less than another one, and hardly
+// any gets less than it.
+func (u *usageTable) isWorstServed(now time.Time, w cleat.WorkspaceID) bool {
+	u.share(now)
+	standing := u.row(now, w).standing
+	return standing < u.highestStanding-2*standingTolerance && standing <= u.lowestStanding+standingTolerance
+}
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -42,21 +42,19 @@
 // workspace over a sliding window.
 type workspaceUsage struct {
 	requested, admitted, started [windowBuckets]int
-	pending                      int                // Sent and without a first event.
-	noRoom                       [windowBuckets]int // Refused for lack of room, within the share.
-	peers                        peerUsage          // At other entries.
-	newest                       int64              // Number of the newest bucket.
-	activeSince                  time.Time          // When requests came after none in the newest buckets.
-	overSince                    time.Time          // Since when its demand has exceeded its share; zero while it doesn't.
-	credit                       credit             // Within the workspace's share.
-	spareCredit                  credit             // Beyond the share, at engines with spare time.
+	pending                      int       // Sent and without a first event.
+	peers                        peerUsage // At other entries.
+	newest                       int64     // Number of the newest bucket.
+	activeSince                  time.Time // When requests came after none in the newest buckets.
+	credit                       credit    // Within the workspace's share.
+	spareCredit                  credit    // Beyond the share, at engines with spare time.
 	refused                      RefusalCounts
+	standing                     float64 // See updateStandings.
 }
 
 func (u *workspaceUsage) advance(bucket int64) {
 	for n := max(u.newest+1, bucket-windowBuckets+1); n <= bucket; n++ {
 		u.requested[n%windowBuckets], u.admitted[n%windowBuckets], u.started[n%windowBuckets] = 0, 0, 0
-		u.noRoom[n%windowBuckets] = 0
 	}
 	u.newest = max(u.newest, bucket)
 }
@@ -86,22 +84,20 @@
 
 // usageTable accounts for the workspaces' use of capacity.
 type usageTable struct {
-	self        cleat.InstanceID
-	window      time.Duration
-	epoch       time.Time // When the first bucket began.
-	rows        map[cleat.WorkspaceID]*workspaceUsage
-	stated      float64 // Cost units that all engines can serve in a window by the manifest; zero when not known.
-	capacity    float64 // The part of these that is in use; see servedCapacity.
-	served      servedCapacity
-	peerFlow    flow    // At other entries.
-	fairShare   float64 // Max-min share as of fairShareAt.
-	fairShareAt time.Time
-	newDemand   int // Cost units requested here since fairShareAt.
-	joining     joining
-	leastServed float64       // What is admitted for the worst served workspace with more demand than its share, as a fraction of that.
-	peers       int           // Other entries from which reports come.
-	heardDemand int           // Those whose reports tell of new demand, since epoch.
-	reportDelay time.Duration // Time within which all of them have reported a new demand.
+	self                            cleat.InstanceID
+	window                          time.Duration
+	epoch                           time.Time // When the first bucket began.
+	rows                            map[cleat.WorkspaceID]*workspaceUsage
+	capacity                        float64 // Cost units that all engines can serve in a window by the manifest; zero when not known.
+	fairShare                       float64 // Max-min share as of fairShareAt.
+	fairShareAt                     time.Time
+	newDemand                       int // Cost units requested here since fairShareAt.
+	joining                         joining
+	peers                           int           // Other entries from which reports come.
+	heardDemand                     int           // Those whose reports tell of new demand, since epoch.
+	lowestStanding, highestStanding float64       // Of the workspaces that requested anything.
+	meanCost                        float64       // Moving average of the cost of the requests here.
+	reportDelay                     time.Duration // Time within which all of them have reported a new demand.
 }
 
 func newUsageTable(self cleat.InstanceID, window time.Duration) usageTable {
@@ -128,6 +124,10 @@
 	}
 	r.requested[r.newest%windowBuckets] += units
 	u.newDemand += units
+	if u.meanCost == 0 {
+		u.meanCost = float64(units)
+	}
+	u.meanCost += meanCostSmoothing * (float64(units) - u.meanCost)
 }
 
 // addAdmitted adds units, or takes back those of a job that was not started.
@@ -141,7 +141,6 @@
 
 // countRefused counts a refused job by its reason.
 func (u *usageTable) countRefused(now time.Time, j *Job, r Reason) {
-	u.countNoRoom(now, j, r)
 	c := &u.row(now, j.Workspace).refused
 	switch r {
 	case ReasonOverShare:
