End attempts that their engines have passed over

Callers whose request an engine hung, or answered with a head and no event, waited until they gave up after 4 s. The request held a slot, counted as backlog at all entries and had light workspaces refused; keys revoked meanwhile left their workspace without service while it still waited. Cause: an attempt had no bound of its own; nothing compared it with others at the same engine. Change: engines admit requests in the order of arrival. Reports say how long ago the newest request that has begun at an upstream was sent, on the sender's clock; a job that was sent clearly earlier and has no first event is stalled. The entry closes its connection, takes it for a failed attempt (admission returned, failure rate of the upstream, no mark) and repeats it within the retry budget. Slow engines delay all alike and stall none. Result: specs of policy/place on stalled jobs pass; on the code before there is no such call.

--- a/placement.go
+++ b/placement.go
@@ -5,11 +5,12 @@
 // UpstreamLoad is the load that one entry has placed on an upstream.
 type UpstreamLoad struct {
 	Upstream       UpstreamID     `msgpack:"u,intern"`
-	PendingPrefill uint32         `msgpack:"p"` // Uncached prompt tokens of requests without a first event.
-	Running        uint32         `msgpack:"r"` // Number of requests.
-	Memory         uint32         `msgpack:"m"` // Tokens of cache memory that the entry's requests hold or will hold.
-	RecentPrefill  uint32         `msgpack:"d"` // Uncached prompt tokens dispatched in a short sliding window.
-	TokenRate      uint32         `msgpack:"s"` // Rate that all but the few most urgent of the entry's event streams need to meet their deadlines, in tokens/s.
+	PendingPrefill uint32         `msgpack:"p"`           // Uncached prompt tokens of requests without a first event.
+	Running        uint32         `msgpack:"r"`           // Number of requests.
+	Memory         uint32         `msgpack:"m"`           // Tokens of cache memory that the entry's requests hold or will hold.
+	RecentPrefill  uint32         `msgpack:"d"`           // Uncached prompt tokens dispatched in a short sliding window.
+	TokenRate      uint32         `msgpack:"s"`           // Rate that all but the few most urgent of the entry's event streams need to meet their deadlines, in tokens/s.
+	BegunAge       uint32         `msgpack:"g,omitempty"` // Milliseconds since the newest request that has a first event was dispatched; zero for none in a short window.
 	Speed          *UpstreamSpeed `msgpack:"v,omitempty"`
 }
 
@@ -56,6 +57,7 @@
 	Cold         []ColdUpstream   `msgpack:"c,omitempty"` // As Limits.
 	Leaving      bool             `msgpack:"x,omitempty"` // The sender shuts down and gets no further requests.
 	Partial      bool             `msgpack:"i,omitempty"` // Sent when a link has come up, without CachedBlocks, Limits and Cold.
+	Clock        uint32           `msgpack:"k,omitempty"` // Milliseconds on the sender's monotonic clock.
 }
 
 // ColdUpstream tells another entry what the sender observed itself about an upstream that may be cold.
--- a/policy/place/gate.go
+++ b/policy/place/gate.go
@@ -70,6 +70,7 @@
 
 // MaySend reports whether a placed job may still be sent: while it was connected, its
 // upstream may have left, restarted, asked for a pause, named a rate limit or been evacuated.
+// A job that may counts as sent now.
 func (p *Planner) MaySend(now time.Time, j *Job) bool {
 	u := j.upstream
 	if u == nil || p.upstreams[u.record.Upstream] != u || u.record.Phase != cleat.UpstreamReady || u.evacuated || u.isPaused(now) {
@@ -79,9 +80,11 @@
 		return false
 	}
 	if p.limits.Rate(u.record.Upstream) > 0 && !j.hasPermit {
-		j.hasPermit = p.limits.Use(now, u.record.Upstream)
-		return j.hasPermit
+		if j.hasPermit = p.limits.Use(now, u.record.Upstream); !j.hasPermit {
+			return false
+		}
 	}
+	j.sentAt = now
 	return true
 }
 
--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -36,6 +36,7 @@
 	memory        int     // Tokens that the job takes of the engine's memory.
 	output        jobOutput
 	hasFirstEvent bool
+	fetches       bool          // Its engine fetches cached blocks from another one first.
 	hasPermit     bool          // It took a permit of its upstream, which has a rate limit.
 	coldTokenAt   time.Time     // When it took a token of its upstream, which is cold; zero for none.
 	wantedAt      time.Time     // When it last counted as demand for permits.
--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -9,6 +9,7 @@
 		if !j.hasFirstEvent {
 			p.usage.addPending(now, j.Workspace, -j.costUnits())
 			p.usage.addStarted(now, j.Workspace, j.costUnits())
+			u.recordBegun(j.sentAt)
 		}
 		u.speed.RecordSlowness(now, j.Slowness)
 		u.recordFirstEvent(now, j)
@@ -54,6 +55,7 @@
 	OutcomeCanceled            // The caller left or its deadline passed.
 	OutcomeNotSent             // As OutcomeCanceled, before the request was sent.
 	OutcomeMisdirected         // The address belongs to another upstream, which did not run it.
+	OutcomeStalled             // The upstream has passed over it; see Planner.Stalled.
 )
 
 // RecordEnd removes a sent job that ended and records its outcome for the upstream. A
@@ -85,7 +87,7 @@
 	case OutcomeServed:
 		u.recordOutcome(now, false)
 		u.recordReachable()
-	case OutcomeFailed:
+	case OutcomeFailed, OutcomeStalled:
 		u.recordOutcome(now, true)
 	case OutcomeFull:
 		u.avoidUntil = now.Add(initialBackoff)
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -50,6 +50,7 @@
 	loads      []cleat.UpstreamLoad
 	outputs    []byte // See cleat.PlacementReport.
 	usage      []cleat.WorkspaceUsage
+	clock      clock
 }
 
 // Planner places the requests of one entry.
@@ -75,6 +76,8 @@
 	ignoreSpeeds   bool // Every upstream counts as of usual speed; for comparisons in tests.
 	outputMeans    map[cleat.ServiceName]*outputMean
 	outputStats    OutputStats
+	stalls         stallChecks
+	firstReportAt  time.Time // When the clock of reports begins.
 }
 
 // New returns a planner that knows no upstream.
@@ -355,7 +358,8 @@
 	}
 	j.hasPermit = p.limits.Use(now, u.record.Upstream)
 	fetchFrom := ""
-	if u.engine != nil && u.canFetch(j.source, u.cached(j.Blocks)) {
+	j.fetches = u.engine != nil && u.canFetch(j.source, u.cached(j.Blocks))
+	if j.fetches {
 		fetchFrom = j.source.upstream.record.Address
 		p.fetches++
 	}
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -10,7 +10,7 @@
 // entries.
 func (p *Planner) Report(now time.Time) *cleat.PlacementReport {
 	p.seq++
-	m := &cleat.PlacementReport{Seq: p.seq, CachedBlocks: p.newBlocks, Usage: p.usage.report(now), Limits: p.limits.Report(now), Cold: p.limits.ColdReport(now), Leaving: p.leaving}
+	m := &cleat.PlacementReport{Seq: p.seq, CachedBlocks: p.newBlocks, Usage: p.usage.report(now), Limits: p.limits.Report(now), Cold: p.limits.ColdReport(now), Leaving: p.leaving, Clock: p.reportClock(now)}
 	p.newBlocks = nil
 	for id, u := range p.upstreams {
 		recent := u.recentPrefill.sum(now)
@@ -31,13 +31,14 @@
 	return cleat.UpstreamLoad{
 		Upstream: id, PendingPrefill: uint32(max(0, u.pendingPrefill)), Running: uint32(len(u.jobs)), Memory: uint32(max(0, u.reportedMemory(now))),
 		RecentPrefill: uint32(recent), TokenRate: uint32(u.ownNeededRate(now)),
+		BegunAge: u.begunAge(now),
 	}
 }
 
 // Introduction returns this entry's load and usage for an entry to which a link has come
 // up. The next report holds the rest.
 func (p *Planner) Introduction(now time.Time) *cleat.PlacementReport {
-	m := &cleat.PlacementReport{Seq: p.seq, Partial: true, Usage: p.usage.report(now)}
+	m := &cleat.PlacementReport{Seq: p.seq, Partial: true, Usage: p.usage.report(now), Clock: p.reportClock(now)}
 	for id, u := range p.upstreams {
 		if recent := u.recentPrefill.sum(now); len(u.jobs) > 0 || recent > 0 {
 			m.Loads = append(m.Loads, u.load(now, id, recent))
@@ -51,7 +52,7 @@
 // restarted, and counts its reports anew then.
 func (p *Planner) RecordLinked(entry cleat.InstanceID) {
 	if q, ok := p.peers[entry]; ok {
-		q.seq = 0
+		q.seq, q.clock = 0, clock{}
 	}
 }
 
@@ -74,8 +75,10 @@
 	}
 	p.usage.countDemandReport(now, q.receivedAt)
 	p.addPeerReport(q, -1)
-	*q = peer{seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs}
+	*q = peer{clock: q.clock, seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs}
+	q.clock.update(now, m.Clock)
 	p.addPeerReport(q, 1)
+	p.applyBegun(q)
 	if p.updateJoining(now); m.Partial {
 		return
 	}
--- /dev/null
+++ b/policy/place/stall.go
@@ -0,0 +1,114 @@
+package place
+
+import "time"
+
+// Load pattern of this file: engines hang a part of their requests, or send the head of an
+// answer and no event, while they run the others. Such a job would hold its slot and count
+// as backlog at all entries until its caller leaves. Engines admit requests in the order of
+// arrival, so a job that has no first event is stalled once another one that was sent clearly
+// later has begun, at whichever entry. A slow engine delays all jobs alike and stalls none.
+
+const (
+	// stallMargin is how much later the other job must have been sent: connections and
+	// links delay requests.
+	stallMargin = 250 * time.Millisecond
+	// fetchStallMargin is added for a job whose engine fetches cached blocks first.
+	fetchStallMargin = 500 * time.Millisecond
+	// stallPrefillFactor is the time granted to a job's own prefill, as a multiple: engines
+	// interleave the prompts of several requests.
+	stallPrefillFactor = 2
+	// maxStallCheckGap is the time between two calls of Stalled from which on the process
+	// is taken to have been stopped; what it hasn't read yet may hold first events.
+	maxStallCheckGap = 250 * time.Millisecond
+	// stallCheckPause is how long no job counts as stalled after that.
+	stallCheckPause = time.Second
+)
+
+// stallChecks is the time of the calls of Stalled.
+type stallChecks struct {
+	last   time.Time
+	paused time.Time // Until then no job counts as stalled.
+}
+
+// recordBegun records that the upstream has begun a job that was sent at a time.
+func (u *upstream) recordBegun(sentAt time.Time) {
+	if sentAt.After(u.begunSentAt) {
+		u.begunSentAt = sentAt
+	}
+}
+
+// isStalled reports whether the upstream has passed over a job of this entry.
+func (u *upstream) isStalled(j *Job) bool {
+	if j.hasFirstEvent || u.engine == nil {
+		return false
+	}
+	allowed := stallMargin + time.Duration(stallPrefillFactor*float64(j.prefill)/u.prefillRate)*time.Millisecond
+	if j.fetches {
+		allowed += fetchStallMargin
+	}
+	return u.begunSentAt.Sub(j.sentAt) > allowed
+}
+
+// Stalled returns the jobs of this entry that their upstreams have passed over. It is called
+// at intervals, and not while the entry is short of processor time: it reads first events
+// late then.
+func (p *Planner) Stalled(now time.Time) []*Job {
+	if now.Sub(p.stalls.last) > maxStallCheckGap {
+		p.stalls.paused = now.Add(stallCheckPause)
+	}
+	if p.stalls.last = now; now.Before(p.stalls.paused) {
+		return nil
+	}
+	var list []*Job
+	for _, j := range p.jobs {
+		if u := j.upstream; u != nil && u.isStalled(j) {
+			list = append(list, j)
+		}
+	}
+	return list
+}
+
+// begunAge returns for a report how long ago the newest job that the upstream has begun was
+// sent, in milliseconds; zero for none since the last peerMaxAge.
+func (u *upstream) begunAge(now time.Time) uint32 {
+	if age := now.Sub(u.begunSentAt); age < peerMaxAge {
+		return uint32(max(1, age.Milliseconds()))
+	}
+	return 0
+}
+
+// clock relates another entry's clock to this one's. A report that is delayed shows a later
+// start of that clock, so the earliest one seen counts.
+type clock struct {
+	millis uint32    // Of the last report.
+	start  time.Time // When the other clock was zero, if the fastest report took no time.
+}
+
+// update applies a report that arrives now. An entry that restarted begins at zero again.
+func (c *clock) update(now time.Time, millis uint32) {
+	start := now.Add(-time.Duration(millis) * time.Millisecond)
+	if c.start.IsZero() || millis < c.millis || start.Before(c.start) {
+		c.start = start
+	}
+	c.millis = millis
+}
+
+// at returns the time at which the last report was sent.
+func (c *clock) at() time.Time { return c.start.Add(time.Duration(c.millis) * time.Millisecond) }
+
+// reportClock returns the milliseconds since the planner's first report.
+func (p *Planner) reportClock(now time.Time) uint32 {
+	if p.firstReportAt.IsZero() {
+		p.firstReportAt = now
+	}
+	return uint32(now.Sub(p.firstReportAt).Milliseconds())
+}
+
+// applyBegun applies what another entry reports as begun.
+func (p *Planner) applyBegun(q *peer) {
+	for _, l := range q.loads {
+		if u, ok := p.upstreams[l.Upstream]; ok && l.BegunAge > 0 {
+			u.recordBegun(q.clock.at().Add(-time.Duration(l.BegunAge) * time.Millisecond))
+		}
+	}
+}
--- /dev/null
+++ b/policy/place/stall_test.go
@@ -0,0 +1,112 @@
+package place_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/place"
+)
+
+var _ = Describe("Planner, jobs that engines pass over", func() {
+	const interval = 50 * time.Millisecond
+
+	// watch calls Stalled at intervals, as an entry does, and returns what it returns last.
+	watch := func(r *rig, d time.Duration) (list []*place.Job) {
+		for until := r.now.Add(d); r.now.Before(until); r.now = r.now.Add(interval) {
+			list = r.Stalled(r.now)
+		}
+		return list
+	}
+	// send submits a prompt of 2,000 tokens to the only engine.
+	send := func(r *rig) *place.Job {
+		j := r.prompt("w", 1, 0, 2000, 10)
+		Expect(r.submit(j).Placed()).To(BeTrue())
+		Expect(r.MaySend(r.now, j)).To(BeTrue())
+		return j
+	}
+	newWatched := func() *rig {
+		r := newRig(1, 0, 0)
+		watch(r, 2*time.Second)
+		return r
+	}
+
+	// FAIR on qila-ops-grown: requests that engines hang were waited for until their callers left.
+	It("are stalled once a later one has begun, and don't count as backlog or service then", func() {
+		r := newWatched()
+		hung := send(r)
+		watch(r, 500*time.Millisecond)
+		Expect(r.Stalled(r.now)).To(BeEmpty())
+		later := send(r)
+		r.now = r.now.Add(interval)
+		r.RecordFirstEvent(r.now, later)
+		Expect(r.Stalled(r.now)).To(ConsistOf(hung))
+		r.RecordEnd(r.now, hung, place.OutcomeStalled)
+		Expect(r.Stalled(r.now)).To(BeEmpty())
+		Expect(r.ShareUsage(r.now, "w").Pending).To(BeZero())
+		Expect(r.Report(r.now).Loads[0].PendingPrefill).To(BeZero())
+	})
+
+	It("are not stalled at a slow engine, by one that was sent soon after, or by a new incarnation", func() {
+		r := newWatched()
+		first := send(r)
+		watch(r, 200*time.Millisecond)
+		second := send(r)
+		Expect(watch(r, 3*time.Second)).To(BeEmpty())
+		r.RecordFirstEvent(r.now, second)
+		Expect(watch(r, 500*time.Millisecond)).To(BeEmpty())
+		r.records[0].StartedAtMillis = 2
+		r.SetUpstreams(r.records)
+		later := send(r)
+		r.RecordFirstEvent(r.now, later)
+		Expect(r.Stalled(r.now)).NotTo(ContainElement(first))
+	})
+
+	for name, c := range map[string]struct {
+		delay   time.Duration // Of the report on the later job.
+		stopped time.Duration // For which the entry wasn't running.
+		stalled int
+	}{
+		"by one that another entry sent":                          {stalled: 1},
+		"not by one that another entry sent before, if told late": {delay: 1500 * time.Millisecond},
+		"not soon after the entry was stopped, by what it reads":  {stopped: 800 * time.Millisecond},
+	} {
+		It("are stalled "+name, func() {
+			r, other := newWatched(), newRigOf("other", 1, 0, 0)
+			other.now = r.now
+			r.ApplyReport(r.now, "other", other.Report(r.now)) // Relates the clocks.
+			later := (*place.Job)(nil)
+			if c.delay > 0 { // The other entry's job is the earlier one.
+				later = send(other)
+				other.RecordFirstEvent(other.now, later)
+			}
+			send(r)
+			watch(r, 500*time.Millisecond)
+			other.now = r.now
+			if later == nil {
+				later = send(other)
+				other.RecordFirstEvent(other.now, later)
+			}
+			report := other.Report(other.now)
+			if c.stopped > 0 {
+				r.now = r.now.Add(c.stopped)
+			} else {
+				watch(r, max(c.delay, interval))
+			}
+			r.ApplyReport(r.now, "other", report)
+			Expect(r.Stalled(r.now)).To(HaveLen(c.stalled))
+		})
+	}
+
+	It("are granted the prefill of a long prompt", func() {
+		r := newWatched()
+		long := r.prompt("w", 1, 0, 30000, 10)
+		long.Target = r.now.Add(5 * time.Second)
+		Expect(r.submit(long).Placed()).To(BeTrue())
+		watch(r, 500*time.Millisecond)
+		r.ApplyReport(r.now, "other", &cleat.PlacementReport{Seq: 1, Clock: 1000, Loads: []cleat.UpstreamLoad{{Upstream: "m0", BegunAge: 1}}})
+		Expect(r.Stalled(r.now)).To(BeEmpty())
+	})
+})
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -81,6 +81,7 @@
 	lastFailureRate float64 // Failure rate at failureRateAt, 0 to 1.
 	failureRateAt   time.Time
 	lastSentAt      time.Time // When a job was last sent to it.
+	begunSentAt     time.Time // When the newest job that has begun was sent, at any entry.
 	heardAt         time.Time // When an event or an answer last came from it.
 	hash            uint64    // Of its name.
 	prefillAffinity float64   // See prefillAffinityOf.
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -48,7 +48,7 @@
 	if p.takeLost() {
 		x.recordClosed(u)
 	}
-	if !x.role.maySend(x.job) {
+	if !x.role.maySend(x.job, conn) {
 		p.putBack(conn)
 		x.role.recordEnd(x.job, place.OutcomeNotSent)
 		x.logDecision("not_sent", "upstream", u.Upstream, "why", "it left, restarted, became cold, paused, named a rate limit or was evacuated meanwhile")
@@ -103,6 +103,9 @@
 		x.endCanceled()
 		return resultDone
 	}
+	if x.endStalled(u) {
+		return resultFailed
+	}
 	x.role.recordEnd(x.job, place.OutcomeLost)
 	x.logDecision("connection_lost", "upstream", u.Upstream, "address", u.Address, "err", err, "blocks", x.blockNames(), "digest", x.digestName())
 	x.recordBroken(u)
@@ -168,6 +171,9 @@
 		if x.ctx.Err() != nil {
 			return x.handleConnLost(u, err), nil
 		}
+		if x.endStalled(u) {
+			return resultFailed, nil
+		}
 		res := x.recordCorrupt(u, err.Error())
 		x.recordBroken(u)
 		return res, nil
--- a/role/proxy/conn_test.go
+++ b/role/proxy/conn_test.go
@@ -90,7 +90,7 @@
 	return &Role{
 		clock: cleat.SystemClock{}, log: logger, decisions: telem.NewDecisionLog(logger), planner: place.New(place.Config{}), roster: roster.New(),
 		streams: resume.New(resume.Config{}, time.Now()), requests: poison.NewRequests(poison.RequestConfig{}), poison: poison.New(poison.Config{}),
-		pools: make(map[cleat.UpstreamID]*pool), waiters: make(map[uint64]chan place.Verdict), wake: make(chan struct{}, 1),
+		pools: make(map[cleat.UpstreamID]*pool), waiters: make(map[uint64]chan place.Verdict), sent: make(map[uint64]*sentJob), wake: make(chan struct{}, 1),
 		listed: make(chan struct{}),
 	}
 }
@@ -120,7 +120,7 @@
 				t.Fatalf("submit: got %+v, want a placement", v)
 			}
 			(&exchange{role: r}).recordNotice(u, c.status, c.info)
-			if got := r.maySend(job); got != c.sent {
+			if got := r.maySend(job, nil); got != c.sent {
 				t.Errorf("maySend: got %v, want %v", got, c.sent)
 			}
 		})
--- a/role/proxy/metrics.go
+++ b/role/proxy/metrics.go
@@ -33,6 +33,7 @@
 	owned   tally.Gauge
 	sent    tally.Gauge
 	evacs   tally.Gauge
+	stalled tally.Gauge
 
 	badLoads tally.Counter // Answers whose load can't be read completely.
 	uneven   tally.Gauge   // Upstreams whose speed is not the usual one.
@@ -49,7 +50,7 @@
 		blocks: scope.Gauge("quarantined_blocks"), limited: scope.Gauge("rate_limited_upstreams"), poison: scope.Gauge("quarantined_requests"),
 		fetches: scope.Gauge("prefix_fetches"),
 		cold:    scope.Gauge("cold_upstreams"), owned: scope.Gauge("owned_cold_upstreams"), sent: scope.Gauge("cold_requests"),
-		evacs:    scope.Gauge("evacuated_domains"),
+		evacs: scope.Gauge("evacuated_domains"), stalled: scope.Gauge("stalled_requests"),
 		badLoads: scope.Counter("malformed_loads"), uneven: scope.Gauge("uneven_upstreams"), speeds: make(map[cleat.UpstreamID]tally.Gauge),
 		output: newOutputMetrics(scope),
 	}
@@ -68,6 +69,7 @@
 	m.limited.Update(float64(r.planner.RateLimited()))
 	m.fetches.Update(float64(r.planner.Fetches()))
 	m.evacs.Update(float64(r.planner.Evacuated()))
+	m.stalled.Update(float64(r.stalled))
 	m.output.update(r.planner)
 	m.failed.Update(float64(r.server.AcceptFailures()))
 	m.left.Update(float64(r.server.Abandoned()))
--- a/role/proxy/notice.go
+++ b/role/proxy/notice.go
@@ -69,9 +69,14 @@
 	}
 }
 
-// maySend reports whether a placed job may still be sent to its upstream.
-func (r *Role) maySend(j *place.Job) bool {
+// maySend reports whether a placed job may still be sent to its upstream on a connection,
+// which is closed if the upstream passes the job over.
+func (r *Role) maySend(j *place.Job, conn *upstreamConn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.planner.MaySend(r.clock.Now(), j)
+	if !r.planner.MaySend(r.clock.Now(), j) {
+		return false
+	}
+	r.sent[j.ID] = &sentJob{conn: conn}
+	return true
 }
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -82,6 +82,8 @@
 	endChecks       map[endCheckKey]*endCheck
 	queryScheduled  bool                          // sendQueries is about to run.
 	waiters         map[uint64]chan place.Verdict // By job ID.
+	sent            map[uint64]*sentJob           // By job ID.
+	stalled         int                           // Jobs that upstreams passed over.
 	pools           map[cleat.UpstreamID]*pool
 	entries         map[cleat.InstanceID]*entryLink
 	lastJobID       uint64 // IDs are assigned in order.
@@ -139,6 +141,7 @@
 		requests:       poison.NewRequests(cfg.Requests),
 		endChecks:      make(map[endCheckKey]*endCheck),
 		waiters:        make(map[uint64]chan place.Verdict),
+		sent:           make(map[uint64]*sentJob),
 		pools:          make(map[cleat.UpstreamID]*pool),
 		entries:        make(map[cleat.InstanceID]*entryLink),
 
@@ -216,7 +219,7 @@
 	r.log.Info("started", "callers", r.Addr(), "links", r.self.Address, "controls", r.cfg.Controls)
 	var g run.Group
 	for _, worker := range []func(context.Context) error{
-		r.control.Run, r.dispatchLoop, r.reportLoop, r.sweepLoop, r.settingsLoop, r.manifestLoop, r.lagLoop, r.loadLoop,
+		r.control.Run, r.dispatchLoop, r.reportLoop, r.sweepLoop, r.settingsLoop, r.manifestLoop, r.lagLoop, r.loadLoop, r.stallLoop,
 	} {
 		g.Add(func() error { return worker(r.ctx) }, func(error) { r.cancel() })
 	}
--- a/role/proxy/stream.go
+++ b/role/proxy/stream.go
@@ -122,6 +122,12 @@
 		}
 		return resultFailed
 	}
+	if x.endStalled(u) {
+		if x.events.started {
+			return resultBroken
+		}
+		return resultFailed
+	}
 	x.mayHaveRun = true
 	x.role.recordEnd(x.job, place.OutcomeFailed)
 	x.logDecision("stream_broken", "upstream", u.Upstream, "err", err, "after_event", x.events.lastID, "attempts", x.attempts, "blocks", x.blockNames(), "digest", x.digestName())
--- a/role/proxy/wait.go
+++ b/role/proxy/wait.go
@@ -132,6 +132,7 @@
 func (r *Role) recordEnd(j *place.Job, o place.Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(r.sent, j.ID)
 	r.planner.RecordEnd(r.clock.Now(), j, o)
 	r.wakeIfWaiting()
 }
