--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -89,21 +89,14 @@
 	c.requests[c.newestBucket%(buckets+1)]++
 }
 
-// overShareFraction is the fraction of an entry's retries that workspaces over their
-// shares may use. The rest is kept for those within: when many requests fail, they would
-// otherwise lose the same part of them as the others, who make up for it with more.
-const overShareFraction = 0.5
-
 // AllowRetry reports whether a request may be retried now, and counts the retry if so.
-func (b *Budget) AllowRetry(now time.Time, s cleat.ServiceName) bool { return b.allow(now, s, 1) }
-
-// AllowOverShareRetry is AllowRetry for the request of a workspace that has recently
-// requested more than its share.
-func (b *Budget) AllowOverShareRetry(now time.Time, s cleat.ServiceName) bool {
-	return b.allow(now, s, overShareFraction)
+func (b *Budget) AllowRetry(now time.Time, s cleat.ServiceName) bool {
+	return b.AllowRetryWithin(now, s, 1)
 }
 
-func (b *Budget) allow(now time.Time, s cleat.ServiceName, fraction float64) bool {
+// AllowRetryWithin is AllowRetry for a request that may only use a fraction of the entry's
+// retries, and so leaves the rest to others.
+func (b *Budget) AllowRetryWithin(now time.Time, s cleat.ServiceName, fraction float64) bool {
 	c := b.countsFor(now, s)
 	requests, retries := 0, 0
 	for i := range c.requests {
--- a/policy/budget/budget_test.go
+++ b/policy/budget/budget_test.go
@@ -72,13 +72,13 @@
 	})
 
 	// FAIR on qila-ops-grown: the first to fail used up the retries.
-	It("keeps half of the retries for workspaces within their shares", func() {
+	It("keeps the rest of the retries when some requests may use a fraction only", func() {
 		b := budget.New(cfg)
 		for range 1000 {
 			b.RecordRequest(start, service)
 		}
 		over, within := 0, 0
-		for b.AllowOverShareRetry(start, service) {
+		for b.AllowRetryWithin(start, service, 0.5) {
 			over++
 		}
 		for b.AllowRetry(start, service) {
--- a/policy/place/planner_test.go
+++ b/policy/place/planner_test.go
@@ -371,7 +371,7 @@
 		const rate = 1000 * 11200.0 / 11500 // This entry's part of the share.
 		Expect(r.OversubscribedUsage(r.now)).To(Equal([]place.ShareUsage{{
 			Workspace: "w", Capacity: 4000, Share: 4000, Requested: 4 * 11200, Admitted: 10200, Started: 5100, RequestedElsewhere: 300, AdmittedElsewhere: 200, StartedElsewhere: 150, Pending: 5100 + 50,
-			Rate: rate, Credit: 100 - 5100 + rate, ReportAge: time.Second, Refused: place.RefusalCounts{OverShare: 1},
+			Standing: 1, Headroom: 1, Rate: rate, Credit: 100 - 5100 + rate, ReportAge: time.Second, Refused: place.RefusalCounts{OverShare: 1},
 		}}))
 	})
 
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -157,12 +157,6 @@
 	return u.capacity > 0 && u.totalDemand(now, r) > oversubscribedShares*u.share(now)
 }
 
-// ExceedsShare reports whether a workspace recently requested much more of an engine
-// service than its share.
-func (p *Planner) ExceedsShare(now time.Time, s cleat.ServiceName, w cleat.WorkspaceID) bool {
-	return p.engines[s] != nil && p.usage.isOversubscribed(now, w)
-}
-
 // maxMinShare returns the share of a workspace in a window, in cost units: what
 // workspaces with a lower demand leave unused is divided evenly among the others. It
 // is infinite when the capacity covers all demand.
--- a/policy/place/share_usage.go
+++ b/policy/place/share_usage.go
@@ -18,6 +18,7 @@
 	RequestedElsewhere, AdmittedElsewhere int           // At other entries, by their last reports.
 	StartedElsewhere                      int           // At other entries, by their last reports.
 	Pending                               int           // Sent and without a first event, at all entries.
+	Standing, Headroom                    float64       // What it gets of what it could, and the fraction of the room that it may use; see standing.go.
 	Rate, Credit                          float64       // At which this entry admits, in units per second, and what it may admit now.
 	ReportAge                             time.Duration // Age of the oldest report that counts.
 	Refused                               RefusalCounts
@@ -31,10 +32,12 @@
 // usage returns the use of a workspace, without ReportAge.
 func (u *usageTable) usage(now time.Time, w cleat.WorkspaceID) ShareUsage {
 	r := u.row(now, w)
+	u.share(now) // Updates the standings.
 	return ShareUsage{
 		Workspace: w, Capacity: u.ownCapacity(), Share: u.share(now), Requested: u.demand(now, r), Admitted: sum(r.admitted), Started: sum(r.started),
 		RequestedElsewhere: r.peers.requested, AdmittedElsewhere: r.peers.admitted,
 		StartedElsewhere: r.peers.started, Pending: r.pending + r.peers.pending,
+		Standing: r.standing, Headroom: u.headroom(now, w),
 		Rate: u.localRate(now, r), Credit: r.credit.units, Refused: r.refused,
 	}
 }
--- a/policy/place/standing.go
+++ b/policy/place/standing.go
@@ -66,3 +66,12 @@
 	standing := u.row(now, w).standing
 	return standing < u.highestStanding-2*standingTolerance && standing <= u.lowestStanding+standingTolerance
 }
+
+// Headroom returns the fraction of what is scarce that a workspace may use of a service:
+// less than 1 while others are served worse by its engines.
+func (p *Planner) Headroom(now time.Time, s cleat.ServiceName, w cleat.WorkspaceID) float64 {
+	if p.engines[s] == nil {
+		return 1
+	}
+	return p.usage.headroom(now, w)
+}
--- a/role/proxy/load.go
+++ b/role/proxy/load.go
@@ -65,7 +65,7 @@
 func shareFields(u *place.ShareUsage) []any {
 	return []any{
 		"capacity", int64(u.Capacity), "share", int64(min(u.Share, maxLoggedShare)), "rate", int64(u.Rate), "credit", int64(u.Credit), "requested", u.Requested, "admitted", u.Admitted, "started", u.Started,
-		"requested_elsewhere", u.RequestedElsewhere, "admitted_elsewhere", u.AdmittedElsewhere, "started_elsewhere", u.StartedElsewhere, "pending", u.Pending, "oldest_report", u.ReportAge.Round(time.Millisecond),
+		"requested_elsewhere", u.RequestedElsewhere, "admitted_elsewhere", u.AdmittedElsewhere, "started_elsewhere", u.StartedElsewhere, "pending", u.Pending, "standing", round2(u.Standing), "headroom", round2(u.Headroom), "oldest_report", u.ReportAge.Round(time.Millisecond),
 		"refused_over_share", u.Refused.OverShare, "refused_overload", u.Refused.Overload, "refused_late_return", u.Refused.LateRetry, "refused_otherwise", u.Refused.Other,
 	}
 }
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -120,22 +120,20 @@
 	if x.attempts == 0 {
 		return true
 	}
-	isOver, allowed := x.takeRetry()
-	x.logDecision("repeat", "upstream", tried.Upstream, "version", tried.Version, "attempts", x.attempts, "allowed", allowed, "over_share", isOver, "after_event", x.events.lastID)
+	part, allowed := x.takeRetry()
+	x.logDecision("repeat", "upstream", tried.Upstream, "version", tried.Version, "attempts", x.attempts, "allowed", allowed, "part", round2(part), "after_event", x.events.lastID)
 	return allowed
 }
 
-// takeRetry reports whether the request's workspace exceeds its share, and whether the
-// retry budget allows another attempt, which is then counted.
-func (x *exchange) takeRetry() (isOver, allowed bool) {
+// takeRetry returns the part of the retry budget that the request's workspace may use, and
+// whether that allows another attempt, which is then counted.
+func (x *exchange) takeRetry() (part float64, allowed bool) {
 	r := x.role
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	if r.planner.ExceedsShare(now, x.service, x.workspace) {
-		return true, r.budget.AllowOverShareRetry(now, x.service)
-	}
-	return false, r.budget.AllowRetry(now, x.service)
+	part = r.planner.Headroom(now, x.service, x.workspace)
+	return part, r.budget.AllowRetryWithin(now, x.service, part)
 }
 
 // endCanceled ends a request whose caller disconnected, or whose deadline passed while
