Bound what a badly served workspace takes from the others' rate

A workspace that can't be served for a reason of its own would have kept the rates of all others at a tenth for as long as it asks. Change: a workspace keeps 0.35 of its rate however far it is ahead, and demand that no upstream can run (no upstream, no version, evacuated) isn't owed.

--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -182,6 +182,7 @@
 	v, decided := p.decide(now, j)
 	if decided && !v.Placed() {
 		p.usage.countRefused(now, j, v.Reason)
+		p.discountUnplaceable(now, j, v.Reason)
 		j.refund()
 		p.refusals.record(now, j)
 	}
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -51,6 +51,9 @@
 	// spareShares is what may be admitted for a workspace beyond its share while engines
 	// have spare time, as a multiple of the share.
 	spareShares = 0.5
+	// minRatePart bounds the part of its rate that a workspace keeps while others are served
+	// worse: at times they can't be served for a reason of their own.
+	minRatePart = 0.35
 	// spareSlope is the fraction of that which a workspace loses for each unit of headroom
 	// that it lacks.
 	spareSlope = 3
@@ -65,7 +68,7 @@
 	}
 	r := u.row(now, j.Workspace)
 	u.open(now, &r.credit, j)
-	r.credit.refill(now, u.headroom(now, j.Workspace)*u.localRate(now, r))
+	r.credit.refill(now, max(minRatePart, u.headroom(now, j.Workspace))*u.localRate(now, r))
 	return &r.credit, u.totalDemand(now, r) <= u.share(now) || r.credit.units > 0
 }
 
@@ -116,6 +119,16 @@
 	}
 }
 
+// discountUnplaceable takes a job that no upstream can run, whatever others leave it, out of
+// its workspace's demand.
+func (p *Planner) discountUnplaceable(now time.Time, j *Job, r Reason) {
+	if j.counted && (r == ReasonNoUpstream || r == ReasonNoVersion || r == ReasonEvacuated) {
+		j.counted = false
+		r := p.usage.row(now, j.Workspace)
+		r.requested[r.newest%windowBuckets] -= j.costUnits()
+	}
+}
+
 // localRate returns the rate at which this entry may admit jobs for a workspace, in
 // cost units per second.
 func (u *usageTable) localRate(now time.Time, r *workspaceUsage) float64 {
