Count what a workspace was denied in place of what it asked for

Change: standings compare what was started with what was refused for lack of room or share, shed, or failed by an engine. Only idempotent streams of which nothing was relayed are ended as stalled, and only a stream's first event is evidence; an entry's clock counts from its third report on. The window for both figures is the accounting window.

--- a/policy/place/choose.go
+++ b/policy/place/choose.go
@@ -224,10 +224,10 @@
 
 // queueAhead returns the waiting jobs that would go before a new job.
 func (p *Planner) queueAhead(now time.Time, j *Job) queue {
-	own := p.usage.admitted(now, j.Workspace)
+	own := p.usage.row(now, j.Workspace).served()
 	var q queue
 	for _, w := range p.waiting {
-		if w.Service == j.Service && p.usage.admitted(now, w.Workspace) <= own {
+		if w.Service == j.Service && p.usage.row(now, w.Workspace).served() <= own {
 			q = q.with(w)
 		}
 	}
--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -199,6 +199,7 @@
 	m.count(j.Workspace).asked += j.PromptTokens + 2*j.OutputTokens
 	if m.busy != nil && m.busy(entry) {
 		m.entries[entry].IsWithinShare(m.now, j) // Counts as demand.
+		m.entries[entry].RecordShed(m.now, j)
 		m.count(j.Workspace).refused++
 		return
 	}
--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -36,6 +36,8 @@
 	memory        int     // Tokens that the job takes of the engine's memory.
 	output        jobOutput
 	hasFirstEvent bool
+	pending       bool          // It counts as pending for its workspace.
+	stalled       bool          // Its upstream has passed it over; it is no backlog there.
 	fetches       bool          // Its engine fetches cached blocks from another one first.
 	hasPermit     bool          // It took a permit of its upstream, which has a rate limit.
 	coldTokenAt   time.Time     // When it took a token of its upstream, which is cold; zero for none.
--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -7,9 +7,8 @@
 	if u := j.upstream; u != nil {
 		u.heardAt = now
 		if !j.hasFirstEvent {
-			p.usage.addPending(now, j.Workspace, -j.costUnits())
+			p.usage.setPending(now, j, false)
 			p.usage.addStarted(now, j.Workspace, j.costUnits())
-			u.recordBegun(j.sentAt)
 		}
 		u.speed.RecordSlowness(now, j.Slowness)
 		u.recordFirstEvent(now, j)
@@ -66,8 +65,9 @@
 	if u == nil {
 		return
 	}
-	if !j.hasFirstEvent {
-		p.usage.addPending(now, j.Workspace, -j.costUnits())
+	p.usage.setPending(now, j, false)
+	if !j.hasFirstEvent && (o == OutcomeFailed || o == OutcomeLost || o == OutcomeStalled) {
+		p.usage.addDenied(now, j)
 	}
 	if !j.hasFirstEvent && o != OutcomeCanceled {
 		j.refund()
--- a/policy/place/output_stats.go
+++ b/policy/place/output_stats.go
@@ -37,6 +37,9 @@
 func (p *Planner) RecordFirstOutput(j *Job, events int) {
 	if u := j.upstream; u != nil {
 		u.recordOutput(j, events)
+		if events > 0 {
+			u.recordOwnBegun(j)
+		}
 	}
 }
 
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -182,7 +183,6 @@
 	v, decided := p.decide(now, j)
 	if decided && !v.Placed() {
 		p.usage.countRefused(now, j, v.Reason)
-		p.discountUnplaceable(now, j, v.Reason)
 		j.refund()
 		p.refusals.record(now, j)
 	}
@@ -324,22 +324,22 @@
 }
 
 // dispatchOrder returns the waiting jobs in the order in which they are tried: those
-// that can still be on time first, then by what was recently sent for their
+// that can still be on time first, then by what was recently started for their
 // workspace, least first, then by rank and objective.
 func (p *Planner) dispatchOrder(now time.Time) []*Job {
 	list := slices.Clone(p.waiting)
-	admitted := make(map[cleat.WorkspaceID]int)
+	served := make(map[cleat.WorkspaceID]float64)
 	for _, j := range list {
 		j.late = p.isLate(now, j)
-		if _, ok := admitted[j.Workspace]; !ok {
-			admitted[j.Workspace] = p.usage.admitted(now, j.Workspace)
+		if _, ok := served[j.Workspace]; !ok {
+			served[j.Workspace] = p.usage.row(now, j.Workspace).served()
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *Job) int {
 		if late := compareBool(a.late, b.late); late != 0 {
 			return late
 		}
-		if d := admitted[a.Workspace] - admitted[b.Workspace]; d != 0 {
+		if d := cmp.Compare(served[a.Workspace], served[b.Workspace]); d != 0 {
 			return d
 		}
 		if a.Rank != b.Rank {
@@ -368,7 +368,7 @@
 	u.addJob(now, j)
 	p.jobs[j.ID] = j
 	p.usage.addAdmitted(now, j.Workspace, j.costUnits())
-	p.usage.addPending(now, j.Workspace, j.costUnits())
+	p.usage.setPending(now, j, true)
 	return Verdict{Job: j, Upstream: u.record, FetchFrom: fetchFrom, PrefillTokens: j.prefill, ExpectedOutput: int(j.output.remaining), BacklogTokens: j.backlogAhead}
 }
 
--- a/policy/place/planner_test.go
+++ b/policy/place/planner_test.go
@@ -68,6 +68,12 @@
 	return &place.Job{ID: r.lastID, Service: plainService, Arrived: r.now, Target: r.now.Add(300 * time.Millisecond), Deadline: r.now.Add(4 * time.Second)}
 }
 
+// begin records the first event of a job's stream.
+func (r *rig) begin(j *place.Job) {
+	r.RecordFirstOutput(j, 1)
+	r.RecordFirstEvent(r.now, j)
+}
+
 // submit submits a job and fails the test when it is not decided at once.
 func (r *rig) submit(j *place.Job) place.Verdict {
 	v, decided := r.Submit(r.now, j)
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -52,7 +52,7 @@
 // restarted, and counts its reports anew then.
 func (p *Planner) RecordLinked(entry cleat.InstanceID) {
 	if q, ok := p.peers[entry]; ok {
-		q.seq, q.clock = 0, clock{}
+		q.seq = 0
 	}
 }
 
@@ -78,10 +78,10 @@
 	*q = peer{clock: q.clock, seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs}
 	q.clock.update(now, m.Clock)
 	p.addPeerReport(q, 1)
-	p.applyBegun(q)
 	if p.updateJoining(now); m.Partial {
 		return
 	}
+	p.applyBegun(q)
 	p.applySpeeds(now, m.Loads)
 	for _, c := range m.CachedBlocks {
 		if u, ok := p.upstreams[c.Upstream]; ok && u.cache != nil {
@@ -136,6 +136,7 @@
 		r.peers.recent += sign * int(w.RecentTokens)
 		r.peers.started += sign * int(w.StartedTokens)
 		r.peers.pending += sign * int(w.PendingTokens)
+		r.peers.denied += sign * int(w.DeniedTokens)
 	}
 }
 
@@ -162,5 +163,5 @@
 
 // peerUsage is the sum of the cost units that other entries report for a workspace.
 type peerUsage struct {
-	requested, admitted, recent, started, pending int
+	requested, admitted, recent, started, pending, denied int
 }
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -111,6 +111,14 @@
 	return ok
 }
 
+// RecordShed counts a job that is refused without being submitted, for lack of processor
+// time at this entry.
+func (p *Planner) RecordShed(now time.Time, j *Job) {
+	if p.engines[j.Service] != nil {
+		p.usage.addDenied(now, j)
+	}
+}
+
 // countRequest adds a job to its workspace's demand, once.
 func (p *Planner) countRequest(now time.Time, j *Job) {
 	if !j.counted {
@@ -119,16 +127,6 @@
 	}
 }
 
-// discountUnplaceable takes a job that no upstream can run, whatever others leave it, out of
-// its workspace's demand.
-func (p *Planner) discountUnplaceable(now time.Time, j *Job, r Reason) {
-	if j.counted && (r == ReasonNoUpstream || r == ReasonNoVersion || r == ReasonEvacuated) {
-		j.counted = false
-		r := p.usage.row(now, j.Workspace)
-		r.requested[r.newest%windowBuckets] -= j.costUnits()
-	}
-}
-
 // localRate returns the rate at which this entry may admit jobs for a workspace, in
 // cost units per second.
 func (u *usageTable) localRate(now time.Time, r *workspaceUsage) float64 {
--- a/policy/place/stall.go
+++ b/policy/place/stall.go
@@ -20,8 +20,14 @@
 	// maxStallCheckGap is the time between two calls of Stalled from which on the process
 	// is taken to have been stopped; what it hasn't read yet may hold first events.
 	maxStallCheckGap = 250 * time.Millisecond
+	// maxPending is how long, besides the expected wait, a job without a first event counts
+	// as one that may still start.
+	maxPending = time.Second
 	// stallCheckPause is how long no job counts as stalled after that.
 	stallCheckPause = time.Second
+	// minClockReports is the number of reports from which another entry's clock is known:
+	// the first ones may be delayed.
+	minClockReports = 3
 )
 
 // stallChecks is the time of the calls of Stalled.
@@ -37,21 +43,35 @@
 	}
 }
 
-// isStalled reports whether the upstream has passed over a job of this entry.
-func (u *upstream) isStalled(j *Job) bool {
-	if j.hasFirstEvent || u.engine == nil {
-		return false
+// recordOwnBegun records the first event of a job of this entry. Only a stream's first event
+// tells that the upstream has begun the job: other answers may come without a run.
+func (u *upstream) recordOwnBegun(j *Job) {
+	if u.engine == nil {
+		return
 	}
-	allowed := stallMargin + time.Duration(stallPrefillFactor*float64(j.prefill)/u.prefillRate)*time.Millisecond
+	u.recordBegun(j.sentAt)
+	if j.sentAt.After(u.ownBegunSentAt) {
+		u.ownBegunSentAt = j.sentAt
+	}
+}
+
+// prefillTime returns how long the upstream takes to prefill a number of tokens.
+func (u *upstream) prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens)/u.prefillRate) * time.Millisecond
+}
+
+// isPassedOver reports whether the upstream has passed over a job of this entry.
+func (u *upstream) isPassedOver(j *Job) bool {
+	allowed := stallMargin + stallPrefillFactor*u.prefillTime(j.prefill)
 	if j.fetches {
 		allowed += fetchStallMargin
 	}
 	return u.begunSentAt.Sub(j.sentAt) > allowed
 }
 
-// Stalled returns the jobs of this entry that their upstreams have passed over. It is called
-// at intervals, and not while the entry is short of processor time: it reads first events
-// late then.
+// Stalled returns the jobs of this entry that their upstreams have passed over since the
+// last call; they are no backlog from now on. It is called at intervals, and not while the
+// entry is short of processor time: it reads first events late then.
 func (p *Planner) Stalled(now time.Time) []*Job {
 	if now.Sub(p.stalls.last) > maxStallCheckGap {
 		p.stalls.paused = now.Add(stallCheckPause)
@@ -61,17 +81,26 @@
 	}
 	var list []*Job
 	for _, j := range p.jobs {
-		if u := j.upstream; u != nil && u.isStalled(j) {
+		u := j.upstream
+		if u == nil || u.engine == nil || j.hasFirstEvent || j.stalled {
+			continue
+		}
+		if u.isPassedOver(j) {
+			u.removeBacklog(j)
+			j.stalled = true
+			p.usage.setPending(now, j, false)
 			list = append(list, j)
+		} else if now.Sub(j.sentAt) > maxPending+stallPrefillFactor*u.prefillTime(j.backlogAhead+j.prefill) {
+			p.usage.setPending(now, j, false)
 		}
 	}
 	return list
 }
 
-// begunAge returns for a report how long ago the newest job that the upstream has begun was
-// sent, in milliseconds; zero for none since the last peerMaxAge.
+// begunAge returns for a report how long ago the newest job of this entry that the upstream
+// has begun was sent, in milliseconds; zero for none since the last peerMaxAge.
 func (u *upstream) begunAge(now time.Time) uint32 {
-	if age := now.Sub(u.begunSentAt); age < peerMaxAge {
+	if age := now.Sub(u.ownBegunSentAt); age < peerMaxAge {
 		return uint32(max(1, age.Milliseconds()))
 	}
 	return 0
@@ -80,17 +109,22 @@
 // clock relates another entry's clock to this one's. A report that is delayed shows a later
 // start of that clock, so the earliest one seen counts.
 type clock struct {
-	millis uint32    // Of the last report.
-	start  time.Time // When the other clock was zero, if the fastest report took no time.
+	millis  uint32    // Of the last report.
+	start   time.Time // When the other clock was zero, if the fastest report took no time.
+	reports int
 }
 
 // update applies a report that arrives now. An entry that restarted begins at zero again.
 func (c *clock) update(now time.Time, millis uint32) {
 	start := now.Add(-time.Duration(millis) * time.Millisecond)
-	if c.start.IsZero() || millis < c.millis || start.Before(c.start) {
+	if millis < c.millis {
+		*c = clock{}
+	}
+	if c.reports == 0 || start.Before(c.start) {
 		c.start = start
 	}
 	c.millis = millis
+	c.reports++
 }
 
 // at returns the time at which the last report was sent.
@@ -106,6 +140,9 @@
 
 // applyBegun applies what another entry reports as begun.
 func (p *Planner) applyBegun(q *peer) {
+	if q.clock.reports < minClockReports {
+		return
+	}
 	for _, l := range q.loads {
 		if u, ok := p.upstreams[l.Upstream]; ok && l.BegunAge > 0 {
 			u.recordBegun(q.clock.at().Add(-time.Duration(l.BegunAge) * time.Millisecond))
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -82,6 +82,7 @@
 	failureRateAt   time.Time
 	lastSentAt      time.Time // When a job was last sent to it.
 	begunSentAt     time.Time // When the newest job that has begun was sent, at any entry.
+	ownBegunSentAt  time.Time // The same at this entry.
 	heardAt         time.Time // When an event or an answer last came from it.
 	hash            uint64    // Of its name.
 	prefillAffinity float64   // See prefillAffinityOf.
@@ -140,7 +141,7 @@
 func (u *upstream) addJob(now time.Time, j *Job) {
 	j.upstream = u
 	u.lastSentAt = now
-	j.sentAt, j.lastEventAt, j.hasFirstEvent = now, now, false
+	j.sentAt, j.lastEventAt, j.hasFirstEvent, j.stalled = now, now, false, false
 	cached, _ := u.withFetch(j.source, u.cached(j.Blocks))
 	j.prefill = max(0, j.PromptTokens-cached)
 	j.memory = j.prefill + j.OutputTokens
@@ -168,7 +169,7 @@
 		return
 	}
 	j.hasFirstEvent = true
-	u.pendingPrefill -= j.prefill
+	u.removeBacklog(j)
 	own := j.lastBlockTokens()
 	ms := float64(now.Sub(j.sentAt)) / float64(time.Millisecond)
 	if own < minRateSampleTokens || j.prefill > own || j.backlogAhead > 0 || ms <= 0 {
@@ -230,6 +231,13 @@
 	return float64(tokens) / (u.prefillRate * float64(prefillWindow/time.Millisecond))
 }
 
+// removeBacklog removes a job from the backlog, unless it is stalled: that has removed it.
+func (u *upstream) removeBacklog(j *Job) {
+	if !j.stalled {
+		u.pendingPrefill -= j.prefill
+	}
+}
+
 // removeJob removes a job that ended.
 func (u *upstream) removeJob(j *Job) {
 	if _, ok := u.jobs[j.ID]; !ok {
@@ -237,7 +245,7 @@
 	}
 	delete(u.jobs, j.ID)
 	if !j.hasFirstEvent {
-		u.pendingPrefill -= j.prefill
+		u.removeBacklog(j)
 	}
 	u.memory -= j.memory
 	u.removeOutput(j)
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -42,19 +42,20 @@
 // workspace over a sliding window.
 type workspaceUsage struct {
 	requested, admitted, started [windowBuckets]int
-	pending                      int       // Sent and without a first event.
-	peers                        peerUsage // At other entries.
-	newest                       int64     // Number of the newest bucket.
-	activeSince                  time.Time // When requests came after none in the newest buckets.
-	credit                       credit    // Within the workspace's share.
-	spareCredit                  credit    // Beyond the share, at engines with spare time.
+	denied                       [windowBuckets]int // Refused for lack of room or for the share, or failed by an engine.
+	pending                      int                // Sent and without a first event.
+	peers                        peerUsage          // At other entries.
+	newest                       int64              // Number of the newest bucket.
+	activeSince                  time.Time          // When requests came after none in the newest buckets.
+	credit                       credit             // Within the workspace's share.
+	spareCredit                  credit             // Beyond the share, at engines with spare time.
 	refused                      RefusalCounts
 	standing                     float64 // See updateStandings.
 }
 
 func (u *workspaceUsage) advance(bucket int64) {
 	for n := max(u.newest+1, bucket-windowBuckets+1); n <= bucket; n++ {
-		u.requested[n%windowBuckets], u.admitted[n%windowBuckets], u.started[n%windowBuckets] = 0, 0, 0
+		u.requested[n%windowBuckets], u.admitted[n%windowBuckets], u.started[n%windowBuckets], u.denied[n%windowBuckets] = 0, 0, 0, 0
 	}
 	u.newest = max(u.newest, bucket)
 }
@@ -74,10 +75,13 @@
 const recentBuckets = 3
 
 // recent returns the cost units requested at this entry in the newest buckets.
-func (u *workspaceUsage) recent() int {
+func (u *workspaceUsage) recent() int { return u.sumRecent(&u.requested) }
+
+// sumRecent adds up the newest buckets.
+func (u *workspaceUsage) sumRecent(buckets *[windowBuckets]int) int {
 	n := 0
 	for i := range int64(recentBuckets) {
-		n += u.requested[(u.newest+windowBuckets-i)%windowBuckets]
+		n += buckets[(u.newest+windowBuckets-i)%windowBuckets]
 	}
 	return n
 }
@@ -141,6 +145,9 @@
 
 // countRefused counts a refused job by its reason.
 func (u *usageTable) countRefused(now time.Time, j *Job, r Reason) {
+	if r == ReasonOverShare || r == ReasonOverload || r == ReasonLateRetry {
+		u.addDenied(now, j)
+	}
 	c := &u.row(now, j.Workspace).refused
 	switch r {
 	case ReasonOverShare:
@@ -154,21 +161,27 @@
 	}
 }
 
-// addPending adds the units of a job that is sent, or takes back those of one that starts
-// or ends.
-func (u *usageTable) addPending(now time.Time, w cleat.WorkspaceID, units int) {
-	u.row(now, w).pending += units
+// setPending counts a job as pending, or no longer.
+func (u *usageTable) setPending(now time.Time, j *Job, pending bool) {
+	r := u.row(now, j.Workspace)
+	switch {
+	case pending && !j.pending:
+		r.pending += j.costUnits()
+	case !pending && j.pending:
+		r.pending -= j.costUnits()
+	}
+	j.pending = pending
 }
 
-func (u *usageTable) addStarted(now time.Time, w cleat.WorkspaceID, units int) {
-	r := u.row(now, w)
-	r.started[r.newest%windowBuckets] += units
+// addDenied counts a job that others may have left no room for.
+func (u *usageTable) addDenied(now time.Time, j *Job) {
+	r := u.row(now, j.Workspace)
+	r.denied[r.newest%windowBuckets] += j.costUnits()
 }
 
-// admitted returns the cost units that all entries recently admitted for a workspace.
-func (u *usageTable) admitted(now time.Time, w cleat.WorkspaceID) int {
+func (u *usageTable) addStarted(now time.Time, w cleat.WorkspaceID, units int) {
 	r := u.row(now, w)
-	return sum(r.admitted) + r.peers.admitted
+	r.started[r.newest%windowBuckets] += units
 }
 
 // admittedPart returns this entry's part of what all entries recently admitted.
@@ -226,10 +239,10 @@
 	for w := range u.rows {
 		r := u.row(now, w)
 		requested, admitted := u.demand(now, r), sum(r.admitted)
-		if requested > 0 || admitted > 0 || r.pending > 0 {
+		if requested > 0 || admitted > 0 || r.pending > 0 || sum(r.started) > 0 {
 			list = append(list, cleat.WorkspaceUsage{
 				Workspace: w, RequestedTokens: uint32(requested), AdmittedTokens: uint32(admitted), RecentTokens: uint32(r.recent()),
-				StartedTokens: uint32(sum(r.started)), PendingTokens: uint32(r.pending),
+				StartedTokens: uint32(max(0, r.sumRecent(&r.started))), PendingTokens: uint32(max(0, r.pending)), DeniedTokens: uint32(max(0, r.sumRecent(&r.denied))),
 			})
 		}
 	}
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -48,7 +48,7 @@
 	if p.takeLost() {
 		x.recordClosed(u)
 	}
-	if !x.role.maySend(x.job, conn) {
+	if !x.role.maySend(x.job, x.watched(conn)) {
 		p.putBack(conn)
 		x.role.recordEnd(x.job, place.OutcomeNotSent)
 		x.logDecision("not_sent", "upstream", u.Upstream, "why", "it left, restarted, became cold, paused, named a rate limit or was evacuated meanwhile")
@@ -65,6 +65,10 @@
 		conn.close()
 		return x.handleConnLost(u, err), nil
 	}
+	if resp.StatusCode != http.StatusOK && x.endStalled(u) {
+		conn.close()
+		return resultFailed, nil
+	}
 	x.recordRateLimit(u, info)
 	x.recordNotice(u, resp.StatusCode, info)
 	x.recordWarmUp(u, info)
--- a/role/proxy/notice.go
+++ b/role/proxy/notice.go
@@ -69,14 +69,16 @@
 	}
 }
 
-// maySend reports whether a placed job may still be sent to its upstream on a connection,
-// which is closed if the upstream passes the job over.
-func (r *Role) maySend(j *place.Job, conn *upstreamConn) bool {
+// maySend reports whether a placed job may still be sent to its upstream. If watched is not
+// nil, it is closed when the upstream passes the job over.
+func (r *Role) maySend(j *place.Job, watched *upstreamConn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.planner.MaySend(r.clock.Now(), j) {
 		return false
 	}
-	r.sent[j.ID] = &sentJob{conn: conn}
+	if watched != nil {
+		r.sent[j.ID] = &sentJob{conn: watched}
+	}
 	return true
 }
--- a/role/proxy/shed.go
+++ b/role/proxy/shed.go
@@ -79,10 +79,14 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.planner.IsWithinShare(now, x.job) {
-		return r.randomDuration(minBusyRetryAfter, maxBusyRetryAfter), true
+	retryAfter, shed := r.randomDuration(minBusyRetryAfter, maxBusyRetryAfter), true
+	if r.planner.IsWithinShare(now, x.job) {
+		retryAfter, shed = r.randomDuration(minFullRetryAfter, maxFullRetryAfter), r.rnd.Float64() < shedFraction(lag, x.route.Target)
 	}
-	return r.randomDuration(minFullRetryAfter, maxFullRetryAfter), r.rnd.Float64() < shedFraction(lag, x.route.Target)
+	if shed {
+		r.planner.RecordShed(now, x.job)
+	}
+	return retryAfter, shed
 }
 
 // minBusyRetryAfter and maxBusyRetryAfter bound the Retry-After of a caller whose
--- a/role/proxy/stall.go
+++ b/role/proxy/stall.go
@@ -11,12 +11,21 @@
 // stallInterval is the time between checks for jobs that their upstreams have passed over.
 const stallInterval = 50 * time.Millisecond
 
-// sentJob is a job that was sent and has not ended.
+// sentJob is a job that was sent, has no first event and may be repeated.
 type sentJob struct {
 	conn    *upstreamConn
 	stalled bool // Its upstream has passed it over, and conn was closed for that.
 }
 
+// watched returns the connection of an attempt that ends when its upstream passes it over; nil
+// if the caller can't use a repetition, or has a part of the answer.
+func (x *exchange) watched(conn *upstreamConn) *upstreamConn {
+	if x.route.Kind != cleat.RouteStream || !x.route.Idempotent() || x.events.started {
+		return nil
+	}
+	return conn
+}
+
 // stallLoop closes the connections of jobs that their upstreams have passed over. Their
 // attempts end as failed ones, so that the requests may be repeated.
 func (r *Role) stallLoop(ctx context.Context) error {
@@ -38,16 +47,17 @@
 }
 
 // endStalled ends the current attempt if its upstream has passed it over, and reports
-// whether that is so.
+// whether that is so. If not, it won't any more: the connection may go back to its pool.
 func (x *exchange) endStalled(u cleat.UpstreamRecord) bool {
 	r := x.role
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s, ok := r.sent[x.job.ID]; !ok || !s.stalled {
+	s, ok := r.sent[x.job.ID]
+	delete(r.sent, x.job.ID)
+	if !ok || !s.stalled {
 		return false
 	}
 	x.mayHaveRun = true
-	delete(r.sent, x.job.ID)
 	now := r.clock.Now()
 	r.planner.RecordEnd(now, x.job, place.OutcomeStalled)
 	r.stalled++
--- a/role/proxy/wait.go
+++ b/role/proxy/wait.go
@@ -118,6 +118,7 @@
 func (r *Role) recordFirstEvent(j *place.Job, events int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(r.sent, j.ID)
 	r.planner.RecordFirstOutput(j, events)
 	r.planner.RecordFirstEvent(r.clock.Now(), j)
 	r.wakeIfWaiting()
