--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -35,6 +35,7 @@
 	rnd      *rand.Rand
 	now      time.Time
 	lastID   uint64
+	stalled  map[*place.Job]bool            // Whose attempts entries ended.
 	idleAt   map[cleat.UpstreamID]time.Time // When each engine has worked off its backlog.
 	timeline map[int64][]func()             // Events by step.
 	seconds  []map[cleat.WorkspaceID]*serviceCount
@@ -53,6 +54,8 @@
 	modelStream     = 400 * time.Millisecond
 	modelObjective  = time.Second
 	modelPatience   = 4 * time.Second // After which callers leave whose requests have not begun.
+	modelRepeats    = 0.5             // Part of the stalled requests that are repeated.
+	stallInterval   = 50 * time.Millisecond
 	restartTime     = 500 * time.Millisecond
 	linkTime        = 200 * time.Millisecond // Until an entry that has started is linked to all others.
 	modelShared     = 2000
@@ -67,6 +70,7 @@
 	m := &fleetModel{
 		rnd: rand.New(rand.NewSource(1)), now: start, reportInterval: 50 * time.Millisecond * time.Duration(max(1, (entries-1)/4)),
 		idleAt: make(map[cleat.UpstreamID]time.Time), timeline: make(map[int64][]func()),
+		stalled: make(map[*place.Job]bool),
 	}
 	m.newPlanner = func(entry int) *place.Planner {
 		p := newRigOf(entryName(entry), engines, 0, tokensPerSec).Planner
@@ -120,6 +124,7 @@
 			}
 		}
 		m.exchangeReports()
+		m.endStalled()
 		for i, p := range m.entries {
 			if p != nil && p.Waiting() > 0 {
 				for _, v := range p.Dispatch(m.now) {
@@ -178,6 +183,32 @@
 	}
 }
 
+// endStalled ends the jobs that engines have passed over, and repeats them once.
+func (m *fleetModel) endStalled() {
+	if m.elapsed()%stallInterval >= modelStep {
+		return
+	}
+	for i, p := range m.entries {
+		if p == nil {
+			continue
+		}
+		for _, j := range p.Stalled(m.now) {
+			again := *j
+			p.RecordEnd(m.now, j, place.OutcomeStalled)
+			m.stalled[j] = true
+			m.count(j.Workspace).refused++
+			if len(again.Tried) > 0 || m.rnd.Float64() > modelRepeats {
+				continue
+			}
+			m.lastID++
+			again.ID, again.Tried = m.lastID, []cleat.UpstreamID{"x"}
+			if v, decided := p.Submit(m.now, &again); decided {
+				m.deliver(i, v)
+			}
+		}
+	}
+}
+
 func (m *fleetModel) request(c callers) {
 	own := min(int(m.rnd.ExpFloat64()*modelMeanOwn), 4*modelMeanOwn)
 	m.lastID++
@@ -226,7 +257,7 @@
 		m.after(max(modelStep, v.Job.Arrived.Add(modelPatience).Sub(m.now)), func() {
 			m.count(v.Job.Workspace).refused++
 			if m.entries[entry] == p {
-				p.RecordEnd(m.now, v.Job, place.OutcomeCanceled)
+				p.RecordEnd(m.now, v.Job, place.OutcomeCanceled) // Does nothing for one that was stalled.
 			}
 		})
 		return
@@ -235,10 +266,11 @@
 	first := max(0, m.idleAt[id].Sub(m.now)) + prefill
 	m.idleAt[id] = m.now.Add(first)
 	m.after(first+modelStep, func() {
-		if m.entries[entry] != p {
+		if m.entries[entry] != p || m.stalled[v.Job] {
 			return
 		}
 		m.count(v.Job.Workspace).got += v.Job.PromptTokens + 2*v.Job.OutputTokens
+		p.RecordFirstOutput(v.Job, 1)
 		p.RecordFirstEvent(m.now, v.Job)
 		m.after(modelStream, func() { p.RecordEnd(m.now, v.Job, place.OutcomeServed) })
 	})
--- a/policy/place/stall.go
+++ b/policy/place/stall.go
@@ -11,7 +11,7 @@
 const (
 	// stallMargin is how much later the other job must have been sent: connections and
 	// links delay requests.
-	stallMargin = 250 * time.Millisecond
+	stallMargin = 200 * time.Millisecond
 	// fetchStallMargin is added for a job whose engine fetches cached blocks first.
 	fetchStallMargin = 500 * time.Millisecond
 	// stallPrefillFactor is the time granted to a job's own prefill, as a multiple: engines
--- a/policy/place/standing.go
+++ b/policy/place/standing.go
@@ -18,12 +18,12 @@
 	// unit by which its standing exceeds the lowest one by more than standingTolerance.
 	headroomSlope = 2
 	// standingTolerance covers reports that are late.
-	standingTolerance = 0.1
+	standingTolerance = 0.2
 	// minHeadroom is the least fraction of the room that a workspace finds.
 	minHeadroom = 0.1
 	// standingSlack is how many requests of mean cost a workspace may lack: a few that wait
 	// or are refused tell nothing about one that requests little.
-	standingSlack = 2
+	standingSlack = 3
 	// meanCostSmoothing is the EWMA weight of one request in the mean cost.
 	meanCostSmoothing = 0.02
 )
@@ -31,12 +31,12 @@
 // served returns the cost units that all entries recently got started for a workspace, and
 // those of its jobs that may still start.
 func (r *workspaceUsage) served() float64 {
-	return float64(max(0, r.sumRecent(&r.started)+r.peers.started) + max(0, r.pending+r.peers.pending))
+	return float64(sum(r.started) + r.peers.started + max(0, r.pending+r.peers.pending))
 }
 
 // deniedEverywhere returns the cost units that all entries recently denied a workspace.
 func (r *workspaceUsage) deniedEverywhere() float64 {
-	return float64(r.sumRecent(&r.denied) + r.peers.denied)
+	return float64(sum(r.denied) + r.peers.denied)
 }
 
 // updateStandings computes how well each workspace is served: what it got, as a fraction of
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -242,7 +242,7 @@
 		if requested > 0 || admitted > 0 || r.pending > 0 || sum(r.started) > 0 {
 			list = append(list, cleat.WorkspaceUsage{
 				Workspace: w, RequestedTokens: uint32(requested), AdmittedTokens: uint32(admitted), RecentTokens: uint32(r.recent()),
-				StartedTokens: uint32(max(0, r.sumRecent(&r.started))), PendingTokens: uint32(max(0, r.pending)), DeniedTokens: uint32(max(0, r.sumRecent(&r.denied))),
+				StartedTokens: uint32(sum(r.started)), PendingTokens: uint32(max(0, r.pending)), DeniedTokens: uint32(sum(r.denied)),
 			})
 		}
 	}
