Spec: short engines while most entries restart at once starve light workspaces

Cause: an entry that starts counts with the whole stated capacity (servedCapacity.part is 0, which stands for 1), and the capacity in use is the mean over all entries. Where engines serve less than is stated, what the fleet has learnt is lost with each restart of many entries. Shares rise beyond what is served, so that what is lost is decided by who finds room, not by what workspaces have received.

Change: a spec for 6 and 8 engines, no change of logic.

--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -482,6 +482,25 @@
 		})
 	}
 
+	// FAIR while entries restart: an entry that starts divides the stated capacity, and what
+	// the others have learnt is averaged with it. Jobs within their shares are refused for
+	// lack of room then, whatever their workspaces have received.
+	for _, engines := range []int{6, 8} {
+		It(fmt.Sprintf("give workspaces their part of what %d engines serve while most entries restart at once, twice", engines), func() {
+			for _, seed := range []int64{21, 22, 23} {
+				m := shortFleet(engines, seed)
+				for i := range 2 {
+					m.after(time.Duration(6+2*i)*time.Second, func() { m.restart(m.all()[:17]...) })
+				}
+				m.run(4 * time.Second)
+				warmUp := len(m.seconds)
+				m.run(16 * time.Second)
+				m.seconds = m.seconds[warmUp:]
+				Expect(m.starved()).To(BeEmpty(), "seed %d", seed)
+			}
+		})
+	}
+
 	It("use the stated capacity again once engines that were missing are back", func() {
 		const seconds = 4
 		m := shortFleet(8, 21)
