Spec: a crowd that begins must not get twice what the other workspaces get

Cause: a job is within its workspace's share while the demand in the accounting window is no higher than the share of that window. A workspace whose crowd begins has no demand in the window yet, so it is admitted without credit up to the share of four seconds, and until reports tell its entries of each other's demand, up to that at each. The others have a second's share in the same second. Evidence: with 68 entries, reports every 800 ms, no busy entry and engines that serve all that they are sent: [FAIL] Planners of a fleet [It] give no workspace whose crowd begins more than twice what the others get "from 8 s: all-a got 1208557, new got 3137548", "from 8 s: all-b got 1255232, new got 3137548", "from 8 s: one-a got 1297100, new got 3137548", "from 8 s: one-b got 1300707, new got 3137548", Change: the spec, and overloadedFleetOf, overloadedFleet with other numbers of entries and engines. No logic changed; the spec fails on it.

--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -335,9 +335,11 @@
 
 // overloadedFleet has 29 entries; two workspaces reach it through one entry each, two
 // through all of them, and request many times their share, beside 16 small ones.
-func overloadedFleet() *fleetModel {
+func overloadedFleet() *fleetModel { return overloadedFleetOf(29, 40) }
+
+func overloadedFleetOf(entries, engines int) *fleetModel {
 	const tokensPerSec = 1_000_000
-	m := newFleetModel(29, 40, tokensPerSec)
+	m := newFleetModel(entries, engines, tokensPerSec)
 	m.callers = []callers{
 		{"one-a", []int{3}, 4 * tokensPerSec / meanCost},
 		{"one-b", []int{7}, 2 * tokensPerSec / meanCost},
@@ -423,6 +425,16 @@
 		Expect(m.starved()).To(BeEmpty())
 	})
 
+	// FAIR on pastor-andino-large: a workspace whose crowd began used the share of a whole
+	// window in a second, and more until reports told of it, while the others had a second's.
+	It("give no workspace whose crowd begins more than twice what the others get", func() {
+		m := overloadedFleetOf(68, 120)
+		m.run(8 * time.Second)
+		m.callers = append(m.callers, callers{"new", m.all(), m.callers[0].rate})
+		m.run(20 * time.Second)
+		Expect(m.starved()).To(BeEmpty())
+	})
+
 	// FAIR on lade-auctions-grown: each start of an entry gave the workspaces behind it the
 	// whole capacity until it had heard of the others' usage.
 	for name, restarts := range map[string]struct {
