Find stalled attempts at busy entries; bound a crowd's first seconds by recent demand

Change: a job is granted twice the entry's lag. One that is overdue (a second and three times its expected wait) is stalled by any later one. A workspace is below its share only if what it requested in the newest part of the window is, too.

--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -192,7 +192,7 @@
 		if p == nil {
 			continue
 		}
-		for _, j := range p.Stalled(m.now) {
+		for _, j := range p.Stalled(m.now, 0) {
 			again := *j
 			p.RecordEnd(m.now, j, place.OutcomeStalled)
 			m.stalled[j] = true
@@ -220,6 +220,10 @@
 }
 
 func (m *fleetModel) attempt(entry int, j *place.Job, mayReturn bool) {
+	if !slices.ContainsFunc(m.entries, func(p *place.Planner) bool { return p != nil }) {
+		m.after(restartTime, func() { m.attempt(entry, j, mayReturn) })
+		return
+	}
 	if m.moved != nil {
 		entry = m.moved(m.elapsed(), entry)
 	}
@@ -525,6 +529,31 @@
 		Expect(total(begun[len(begun)-seconds:])).To(BeNumerically(">", 900_000*seconds))
 	})
 
+	// RECOVER: requests that engines don't answer count as backlog at all entries until
+	// their callers leave, so that others are refused for lack of room.
+	It("serve a third of what is requested after all have restarted, while engines don't answer half of it", func() {
+		const (
+			back      = 8 * time.Second
+			settled   = 2 // Seconds after the return.
+			span      = 3
+			requested = 4*150_000 + 16*20_000 // In a second; less than the capacity.
+		)
+		for _, seed := range []int64{21, 22, 23} {
+			m := overloadedFleet()
+			m.rnd = rand.New(rand.NewSource(seed))
+			for i := range m.callers {
+				m.callers[i].rate = min(m.callers[i].rate, 150_000/meanCost)
+			}
+			m.after(back-restartTime, func() { m.restart(m.all()...) })
+			m.after(back, func() { m.hung = 0.5 })
+			m.run(back + 20*time.Second)
+			served := m.begun()[int(back/time.Second)+settled:]
+			for i := range len(served) - span + 1 {
+				Expect(total(served[i:i+span])).To(BeNumerically(">", span*requested/3), "seed %d, from %d s after the return: %v", seed, settled+i, served)
+			}
+		}
+	})
+
 	It("refuse nothing while the capacity covers what is requested", func() {
 		m := overloadedFleet()
 		for i := range m.callers {
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -69,7 +69,15 @@
 	r := u.row(now, j.Workspace)
 	u.open(now, &r.credit, j)
 	r.credit.refill(now, max(minRatePart, u.headroom(now, j.Workspace))*u.localRate(now, r))
-	return &r.credit, u.totalDemand(now, r) <= u.share(now) || r.credit.units > 0
+	return &r.credit, u.isBelowShare(now, r) || r.credit.units > 0
+}
+
+// isBelowShare reports whether all entries together requested less for a workspace than its
+// share, in the window and in the newest part of it: a workspace whose crowd has just begun
+// would otherwise use the share of a whole window at once.
+func (u *usageTable) isBelowShare(now time.Time, r *workspaceUsage) bool {
+	share := u.share(now)
+	return u.totalDemand(now, r) <= share && float64(r.recent()+r.peers.recent) <= share*recentBuckets/windowBuckets
 }
 
 // withinSpare does the same beyond the share.
--- a/policy/place/stall.go
+++ b/policy/place/stall.go
@@ -20,9 +20,12 @@
 	// maxStallCheckGap is the time between two calls of Stalled from which on the process
 	// is taken to have been stopped; what it hasn't read yet may hold first events.
 	maxStallCheckGap = 250 * time.Millisecond
-	// maxPending is how long, besides the expected wait, a job without a first event counts
-	// as one that may still start.
-	maxPending = time.Second
+	// stallLagFactor is how much later an event may be recorded and a request sent at an entry
+	// that is short of processor time, as a multiple of its lag.
+	stallLagFactor = 2
+	// maxPending and overdueFactor are how long a job without a first event counts as one that
+	// may still start: a time and a multiple of the wait that was expected.
+	maxPending, overdueFactor = time.Second, 3
 	// stallCheckPause is how long no job counts as stalled after that.
 	stallCheckPause = time.Second
 	// minClockReports is the number of reports from which another entry's clock is known:
@@ -60,19 +63,29 @@
 	return time.Duration(float64(tokens)/u.prefillRate) * time.Millisecond
 }
 
-// isPassedOver reports whether the upstream has passed over a job of this entry.
-func (u *upstream) isPassedOver(j *Job) bool {
-	allowed := stallMargin + stallPrefillFactor*u.prefillTime(j.prefill)
+// isPassedOver reports whether the upstream has passed over a job of this entry. Once the job
+// is overdue, any later one that has begun tells.
+func (u *upstream) isPassedOver(now time.Time, lag time.Duration, j *Job) bool {
+	later := u.begunSentAt.Sub(j.sentAt)
+	if u.isOverdue(now, lag, j) && later > stallLagFactor*lag {
+		return true
+	}
+	allowed := stallMargin + stallLagFactor*lag + stallPrefillFactor*u.prefillTime(j.prefill)
 	if j.fetches {
 		allowed += fetchStallMargin
 	}
-	return u.begunSentAt.Sub(j.sentAt) > allowed
+	return later > allowed
+}
+
+// isOverdue reports whether a job without a first event is unlikely to get one.
+func (u *upstream) isOverdue(now time.Time, lag time.Duration, j *Job) bool {
+	return now.Sub(j.sentAt) > maxPending+stallLagFactor*lag+overdueFactor*u.prefillTime(j.backlogAhead+j.prefill)
 }
 
 // Stalled returns the jobs of this entry that their upstreams have passed over since the
-// last call; they are no backlog from now on. It is called at intervals, and not while the
-// entry is short of processor time: it reads first events late then.
-func (p *Planner) Stalled(now time.Time) []*Job {
+// last call; they are no backlog from now on. It is called at intervals; an entry reads first
+// events late by its lag.
+func (p *Planner) Stalled(now time.Time, lag time.Duration) []*Job {
 	if now.Sub(p.stalls.last) > maxStallCheckGap {
 		p.stalls.paused = now.Add(stallCheckPause)
 	}
@@ -85,12 +98,12 @@
 		if u == nil || u.engine == nil || j.hasFirstEvent || j.stalled {
 			continue
 		}
-		if u.isPassedOver(j) {
+		if u.isPassedOver(now, lag, j) {
 			u.removeBacklog(j)
 			j.stalled = true
 			p.usage.setPending(now, j, false)
 			list = append(list, j)
-		} else if now.Sub(j.sentAt) > maxPending+stallPrefillFactor*u.prefillTime(j.backlogAhead+j.prefill) {
+		} else if u.isOverdue(now, lag, j) {
 			p.usage.setPending(now, j, false)
 		}
 	}
--- a/policy/place/stall_test.go
+++ b/policy/place/stall_test.go
@@ -16,7 +16,7 @@
 	// watch calls Stalled at intervals, as an entry does, and returns what it returns last.
 	watch := func(r *rig, d time.Duration) (list []*place.Job) {
 		for until := r.now.Add(d); r.now.Before(until); r.now = r.now.Add(interval) {
-			list = r.Stalled(r.now)
+			list = r.Stalled(r.now, 0)
 		}
 		return list
 	}
@@ -38,13 +38,13 @@
 		r := newWatched()
 		hung := send(r)
 		watch(r, 500*time.Millisecond)
-		Expect(r.Stalled(r.now)).To(BeEmpty())
+		Expect(r.Stalled(r.now, 0)).To(BeEmpty())
 		later := send(r)
 		r.now = r.now.Add(interval)
 		r.begin(later)
-		Expect(r.Stalled(r.now)).To(ConsistOf(hung))
+		Expect(r.Stalled(r.now, 0)).To(ConsistOf(hung))
 		r.RecordEnd(r.now, hung, place.OutcomeStalled)
-		Expect(r.Stalled(r.now)).To(BeEmpty())
+		Expect(r.Stalled(r.now, 0)).To(BeEmpty())
 		Expect(r.ShareUsage(r.now, "w").Pending).To(BeZero())
 		Expect(r.Report(r.now).Loads[0].PendingPrefill).To(BeZero())
 	})
@@ -61,7 +61,7 @@
 		r.SetUpstreams(r.records)
 		later := send(r)
 		r.begin(later)
-		Expect(r.Stalled(r.now)).NotTo(ContainElement(first))
+		Expect(r.Stalled(r.now, 0)).NotTo(ContainElement(first))
 	})
 
 	for name, c := range map[string]struct {
@@ -98,10 +98,29 @@
 				watch(r, max(c.delay, interval))
 			}
 			r.ApplyReport(r.now, "other", report)
-			Expect(r.Stalled(r.now)).To(HaveLen(c.stalled))
+			Expect(r.Stalled(r.now, 0)).To(HaveLen(c.stalled))
 		})
 	}
 
+	It("are granted the lag of a busy entry, before and after it reads events", func() {
+		r := newWatched()
+		send(r)
+		watch(r, 700*time.Millisecond)
+		r.begin(send(r))
+		Expect(r.Stalled(r.now, 300*time.Millisecond)).To(BeEmpty())
+		Expect(r.Stalled(r.now, 100*time.Millisecond)).To(HaveLen(1))
+	})
+
+	It("are stalled by any later one once they are overdue", func() {
+		r := newWatched()
+		send(r)
+		r.now = r.now.Add(interval)
+		second := send(r)
+		watch(r, 1500*time.Millisecond)
+		r.begin(second)
+		Expect(r.Stalled(r.now, 0)).To(HaveLen(1))
+	})
+
 	It("are not stalled by answers that aren't streams", func() {
 		r := newWatched()
 		send(r)
@@ -109,7 +128,7 @@
 		later := send(r)
 		r.RecordFirstOutput(later, 0)
 		r.RecordFirstEvent(r.now, later)
-		Expect(r.Stalled(r.now)).To(BeEmpty())
+		Expect(r.Stalled(r.now, 0)).To(BeEmpty())
 	})
 
 	It("are not stalled by what an entry reports soon after its start, when reports may be late", func() {
@@ -117,7 +136,7 @@
 		send(r)
 		watch(r, 500*time.Millisecond)
 		r.ApplyReport(r.now, "other", &cleat.PlacementReport{Seq: 1, Clock: 1000, Loads: []cleat.UpstreamLoad{{Upstream: "m0", BegunAge: 1}}})
-		Expect(r.Stalled(r.now)).To(BeEmpty())
+		Expect(r.Stalled(r.now, 0)).To(BeEmpty())
 	})
 
 	It("are granted the prefill of a long prompt", func() {
@@ -130,6 +149,6 @@
 		short.Target = r.now.Add(5 * time.Second)
 		Expect(r.submit(short).Placed()).To(BeTrue())
 		r.begin(short)
-		Expect(r.Stalled(r.now)).To(BeEmpty())
+		Expect(r.Stalled(r.now, 0)).To(BeEmpty())
 	})
 })
--- a/role/proxy/stall.go
+++ b/role/proxy/stall.go
@@ -31,11 +31,8 @@
 func (r *Role) stallLoop(ctx context.Context) error {
 	for sleep(ctx, stallInterval) {
 		now := r.clock.Now()
-		if r.lag.value(now) > lagBusy {
-			continue // First events may have arrived that aren't read yet.
-		}
 		r.mu.Lock()
-		for _, j := range r.planner.Stalled(now) {
+		for _, j := range r.planner.Stalled(now, r.lag.value(now)) {
 			if s, ok := r.sent[j.ID]; ok && !s.stalled {
 				s.stalled = true
 				s.conn.close()
