--- a/policy/place/standing.go
+++ b/policy/place/standing.go
@@ -18,7 +18,7 @@
 	// unit by which its standing exceeds the lowest one by more than standingTolerance.
 	headroomSlope = 2
 	// standingTolerance covers reports that are late.
-	standingTolerance = 0.2
+	standingTolerance = 0.15
 	// minHeadroom is the least fraction of the room that a workspace finds.
 	minHeadroom = 0.1
 	// standingSlack is how many requests of mean cost a workspace may lack: a few that wait
