Take an attempt for overdue after half a second and three times its wait

With engines that hang half of the requests attempts were ended 1.1 s (median) after they were sent: at 2.8 begun requests a second an engine passes over a request by the margin late. Sound requests that have no event after half a second and three times their expected wait, and are overtaken, are rare (traces of hanging and revoked: 4 of 6,206 sound ones were overtaken for more than 0.5 s).

--- a/policy/place/stall.go
+++ b/policy/place/stall.go
@@ -25,7 +25,7 @@
 	stallLagFactor = 2
 	// maxPending and overdueFactor are how long a job without a first event counts as one that
 	// may still start: a time and a multiple of the wait that was expected.
-	maxPending, overdueFactor = time.Second, 3
+	maxPending, overdueFactor = 500*time.Millisecond, 3
 	// stallCheckPause is how long no job counts as stalled after that.
 	stallCheckPause = time.Second
 	// minClockReports is the number of reports from which another entry's clock is known:
