--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -55,7 +55,6 @@
 	modelObjective  = time.Second
 	modelPatience   = 4 * time.Second // After which callers leave whose requests have not begun.
 	modelRepeats    = 0.5             // Part of the stalled requests that are repeated.
-	stallInterval   = 50 * time.Millisecond
 	restartTime     = 500 * time.Millisecond
 	linkTime        = 200 * time.Millisecond // Until an entry that has started is linked to all others.
 	modelShared     = 2000
@@ -185,7 +184,7 @@
 
 // endStalled ends the jobs that engines have passed over, and repeats them once.
 func (m *fleetModel) endStalled() {
-	if m.elapsed()%stallInterval >= modelStep {
+	if m.elapsed()%place.StallCheckInterval >= modelStep {
 		return
 	}
 	for i, p := range m.entries {
--- a/policy/place/stall.go
+++ b/policy/place/stall.go
@@ -17,26 +17,37 @@
 	// stallPrefillFactor is the time granted to a job's own prefill, as a multiple: engines
 	// interleave the prompts of several requests.
 	stallPrefillFactor = 2
-	// maxStallCheckGap is the time between two calls of Stalled from which on the process
-	// is taken to have been stopped; what it hasn't read yet may hold first events.
-	maxStallCheckGap = 250 * time.Millisecond
+	// stallDelayDecay is the factor by which the high-water mark of late calls of Stalled
+	// decays with each call: a process that was stopped first reads what has arrived.
+	stallDelayDecay = 0.8
 	// stallLagFactor is how much later an event may be recorded and a request sent at an entry
 	// that is short of processor time, as a multiple of its lag.
 	stallLagFactor = 2
 	// maxPending and overdueFactor are how long a job without a first event counts as one that
 	// may still start: a time and a multiple of the wait that was expected.
-	maxPending, overdueFactor = 500*time.Millisecond, 3
-	// stallCheckPause is how long no job counts as stalled after that.
-	stallCheckPause = time.Second
+	maxPending, overdueFactor = 500 * time.Millisecond, 3
 	// minClockReports is the number of reports from which another entry's clock is known:
 	// the first ones may be delayed.
 	minClockReports = 3
 )
 
-// stallChecks is the time of the calls of Stalled.
+// StallCheckInterval is the time between calls of Planner.Stalled.
+const StallCheckInterval = 50 * time.Millisecond
+
+// stallChecks is how punctual the calls of Stalled are.
 type stallChecks struct {
-	last   time.Time
-	paused time.Time // Until then no job counts as stalled.
+	last  time.Time
+	delay time.Duration // Decaying high-water mark.
+}
+
+// update applies a call and returns the delay.
+func (c *stallChecks) update(now time.Time) time.Duration {
+	c.delay = time.Duration(stallDelayDecay * float64(c.delay))
+	if !c.last.IsZero() {
+		c.delay = max(c.delay, now.Sub(c.last)-StallCheckInterval)
+	}
+	c.last = now
+	return c.delay
 }
 
 // recordBegun records that the upstream has begun a job that was sent at a time.
@@ -86,12 +97,7 @@
 // last call; they are no backlog from now on. It is called at intervals; an entry reads first
 // events late by its lag.
 func (p *Planner) Stalled(now time.Time, lag time.Duration) []*Job {
-	if now.Sub(p.stalls.last) > maxStallCheckGap {
-		p.stalls.paused = now.Add(stallCheckPause)
-	}
-	if p.stalls.last = now; now.Before(p.stalls.paused) {
-		return nil
-	}
+	lag = max(lag, p.stalls.update(now))
 	var list []*Job
 	for _, j := range p.jobs {
 		u := j.upstream
--- a/policy/place/stall_test.go
+++ b/policy/place/stall_test.go
@@ -11,7 +11,7 @@
 )
 
 var _ = Describe("Planner, jobs that engines pass over", func() {
-	const interval = 50 * time.Millisecond
+	const interval = place.StallCheckInterval
 
 	// watch calls Stalled at intervals, as an entry does, and returns what it returns last.
 	watch := func(r *rig, d time.Duration) (list []*place.Job) {
--- a/role/proxy/stall.go
+++ b/role/proxy/stall.go
@@ -8,9 +8,6 @@
 	"marigoldcleat.example/cleat/policy/place"
 )
 
-// stallInterval is the time between checks for jobs that their upstreams have passed over.
-const stallInterval = 50 * time.Millisecond
-
 // sentJob is a job that was sent, has no first event and may be repeated.
 type sentJob struct {
 	conn    *upstreamConn
@@ -29,7 +26,7 @@
 // stallLoop closes the connections of jobs that their upstreams have passed over. Their
 // attempts end as failed ones, so that the requests may be repeated.
 func (r *Role) stallLoop(ctx context.Context) error {
-	for sleep(ctx, stallInterval) {
+	for sleep(ctx, place.StallCheckInterval) {
 		now := r.clock.Now()
 		r.mu.Lock()
 		for _, j := range r.planner.Stalled(now, r.lag.value(now)) {
