Slow others down only for workspaces that lack room at engines

Change: reports tell what was denied for lack of room. Only workspaces that lack room lower the others' headroom; any that are denied something bound what is admitted beyond shares, as before.

--- a/placement.go
+++ b/placement.go
@@ -40,9 +40,10 @@
 	RequestedTokens uint32      `msgpack:"a"`           // In the sender's sliding usage window.
 	AdmittedTokens  uint32      `msgpack:"s"`           // Those of RequestedTokens that were dispatched to an upstream.
 	RecentTokens    uint32      `msgpack:"r"`           // Those of RequestedTokens in the last part of the window.
-	StartedTokens   uint32      `msgpack:"t,omitempty"` // Those whose first event came in the last part of the window.
+	StartedTokens   uint32      `msgpack:"t,omitempty"` // Those whose first event came in the window.
 	PendingTokens   uint32      `msgpack:"p,omitempty"` // Those that were dispatched and may still get their first event.
-	DeniedTokens    uint32      `msgpack:"d,omitempty"` // Those that were refused for lack of capacity, or failed by an upstream, in the last part of the window.
+	DeniedTokens    uint32      `msgpack:"d,omitempty"` // Those that were refused for lack of capacity or for the share, or failed by an upstream.
+	NoRoomTokens    uint32      `msgpack:"n,omitempty"` // Those of DeniedTokens that were refused for lack of room at upstreams, or failed.
 }
 
 // PlacementReport tells another entry which load the sender has placed on each
--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -67,7 +67,7 @@
 	}
 	p.usage.setPending(now, j, false)
 	if !j.hasFirstEvent && (o == OutcomeFailed || o == OutcomeLost || o == OutcomeStalled) {
-		p.usage.addDenied(now, j)
+		p.usage.addDenied(now, j, true)
 	}
 	if !j.hasFirstEvent && o != OutcomeCanceled {
 		j.refund()
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -137,6 +137,7 @@
 		r.peers.started += sign * int(w.StartedTokens)
 		r.peers.pending += sign * int(w.PendingTokens)
 		r.peers.denied += sign * int(w.DeniedTokens)
+		r.peers.noRoom += sign * int(w.NoRoomTokens)
 	}
 }
 
@@ -163,5 +164,5 @@
 
 // peerUsage is the sum of the cost units that other entries report for a workspace.
 type peerUsage struct {
-	requested, admitted, recent, started, pending, denied int
+	requested, admitted, recent, started, pending, denied, noRoom int
 }
--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -56,7 +56,7 @@
 	minRatePart = 0.35
 	// spareSlope is the fraction of that which a workspace loses for each unit of headroom
 	// that it lacks.
-	spareSlope = 3
+	spareSlope = 4
 )
 
 // withinShare reports whether a job of a workspace is within the workspace's share at
@@ -104,7 +104,7 @@
 	if u.joining.active {
 		return 0
 	}
-	return spareShares * max(0, 1-spareSlope*(1-u.headroom(now, w)))
+	return spareShares * max(0, 1-spareSlope*(1-u.leadFactor(now, w, &u.lowestStanding)))
 }
 
 // IsWithinShare counts the request of a job that may be submitted later, and reports
@@ -123,7 +123,7 @@
 // time at this entry.
 func (p *Planner) RecordShed(now time.Time, j *Job) {
 	if p.engines[j.Service] != nil {
-		p.usage.addDenied(now, j)
+		p.usage.addDenied(now, j, false)
 	}
 }
 
--- a/policy/place/standing.go
+++ b/policy/place/standing.go
@@ -18,9 +18,11 @@
 	// unit by which its standing exceeds the lowest one by more than standingTolerance.
 	headroomSlope = 2
 	// standingTolerance covers reports that are late.
-	standingTolerance = 0.15
+	standingTolerance = 0.12
 	// minHeadroom is the least fraction of the room that a workspace finds.
 	minHeadroom = 0.1
+	// noRoomPart is the part of what a workspace could get from which on it lacks room.
+	noRoomPart = 0.1
 	// standingSlack is how many requests of mean cost a workspace may lack: a few that wait
 	// or are refused tell nothing about one that requests little.
 	standingSlack = 3
@@ -34,37 +36,43 @@
 	return float64(sum(r.started) + r.peers.started + max(0, r.pending+r.peers.pending))
 }
 
-// deniedEverywhere returns the cost units that all entries recently denied a workspace.
-func (r *workspaceUsage) deniedEverywhere() float64 {
-	return float64(sum(r.denied) + r.peers.denied)
-}
-
 // updateStandings computes how well each workspace is served: what it got, as a fraction of
 // what it got and was denied or what the best served workspace got, whichever is less. One
 // that was denied nothing is served well: nobody else can do anything for it.
 func (u *usageTable) updateStandings(now time.Time) {
-	best := 0.0
+	best := 1.0
 	for w := range u.rows {
 		best = max(best, u.row(now, w).served())
 	}
-	u.lowestStanding, u.highestStanding = 1, 0
+	u.lowestStanding, u.lowestNoRoom, u.highestStanding = 1, 1, 0
 	for _, r := range u.rows {
 		r.standing = 1
-		served, denied := r.served(), r.deniedEverywhere()
+		served, denied := r.served(), float64(sum(r.denied)+r.peers.denied)
+		if served+denied == 0 {
+			continue
+		}
+		entitled := min(served+denied, best)
 		if denied > 0 {
-			r.standing = min(1, (served+standingSlack*u.meanCost)/min(served+denied, max(best, 1)))
+			r.standing = min(1, (served+standingSlack*u.meanCost)/entitled)
 		}
-		if served+denied > 0 {
-			u.lowestStanding, u.highestStanding = min(u.lowestStanding, r.standing), max(u.highestStanding, r.standing)
+		u.lowestStanding, u.highestStanding = min(u.lowestStanding, r.standing), max(u.highestStanding, r.standing)
+		if float64(sum(r.noRoom)+r.peers.noRoom) > noRoomPart*entitled {
+			u.lowestNoRoom = min(u.lowestNoRoom, r.standing)
 		}
 	}
 }
 
 // headroom returns the fraction of the room at engines that jobs of a workspace may use,
-// from minHeadroom to 1.
+// from minHeadroom to 1. Only workspaces that lack room lower it: others gain nothing by it.
 func (u *usageTable) headroom(now time.Time, w cleat.WorkspaceID) float64 {
-	u.share(now)
-	lead := u.row(now, w).standing - u.lowestStanding - standingTolerance
+	return u.leadFactor(now, w, &u.lowestNoRoom)
+}
+
+// leadFactor returns 1 for a workspace that isn't ahead of the lowest standing, and less the
+// further it is.
+func (u *usageTable) leadFactor(now time.Time, w cleat.WorkspaceID, lowest *float64) float64 {
+	u.share(now) // Updates the standings.
+	lead := u.row(now, w).standing - *lowest - standingTolerance
 	return min(max(1-headroomSlope*lead, minHeadroom), 1)
 }
 
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -42,7 +42,8 @@
 // workspace over a sliding window.
 type workspaceUsage struct {
 	requested, admitted, started [windowBuckets]int
-	denied                       [windowBuckets]int // Refused for lack of room or for the share, or failed by an engine.
+	denied                       [windowBuckets]int // Refused for lack of room or for the share, shed, or failed by an engine.
+	noRoom                       [windowBuckets]int // Those that were refused for lack of room, or failed.
 	pending                      int                // Sent and without a first event.
 	peers                        peerUsage          // At other entries.
 	newest                       int64              // Number of the newest bucket.
@@ -56,6 +57,7 @@
 func (u *workspaceUsage) advance(bucket int64) {
 	for n := max(u.newest+1, bucket-windowBuckets+1); n <= bucket; n++ {
 		u.requested[n%windowBuckets], u.admitted[n%windowBuckets], u.started[n%windowBuckets], u.denied[n%windowBuckets] = 0, 0, 0, 0
+		u.noRoom[n%windowBuckets] = 0
 	}
 	u.newest = max(u.newest, bucket)
 }
@@ -100,6 +102,7 @@
 	peers                           int           // Other entries from which reports come.
 	heardDemand                     int           // Those whose reports tell of new demand, since epoch.
 	lowestStanding, highestStanding float64       // Of the workspaces that requested anything.
+	lowestNoRoom                    float64       // Of those that lack room at engines.
 	meanCost                        float64       // Moving average of the cost of the requests here.
 	reportDelay                     time.Duration // Time within which all of them have reported a new demand.
 }
@@ -145,8 +148,11 @@
 
 // countRefused counts a refused job by its reason.
 func (u *usageTable) countRefused(now time.Time, j *Job, r Reason) {
-	if r == ReasonOverShare || r == ReasonOverload || r == ReasonLateRetry {
-		u.addDenied(now, j)
+	switch r {
+	case ReasonOverShare:
+		u.addDenied(now, j, false)
+	case ReasonOverload, ReasonLateRetry:
+		u.addDenied(now, j, true)
 	}
 	c := &u.row(now, j.Workspace).refused
 	switch r {
@@ -173,10 +179,14 @@
 	j.pending = pending
 }
 
-// addDenied counts a job that others may have left no room for.
-func (u *usageTable) addDenied(now time.Time, j *Job) {
+// addDenied counts a job that is not served, for lack of room at engines or for another
+// reason.
+func (u *usageTable) addDenied(now time.Time, j *Job, noRoom bool) {
 	r := u.row(now, j.Workspace)
 	r.denied[r.newest%windowBuckets] += j.costUnits()
+	if noRoom {
+		r.noRoom[r.newest%windowBuckets] += j.costUnits()
+	}
 }
 
 func (u *usageTable) addStarted(now time.Time, w cleat.WorkspaceID, units int) {
@@ -242,7 +252,7 @@
 		if requested > 0 || admitted > 0 || r.pending > 0 || sum(r.started) > 0 {
 			list = append(list, cleat.WorkspaceUsage{
 				Workspace: w, RequestedTokens: uint32(requested), AdmittedTokens: uint32(admitted), RecentTokens: uint32(r.recent()),
-				StartedTokens: uint32(sum(r.started)), PendingTokens: uint32(max(0, r.pending)), DeniedTokens: uint32(sum(r.denied)),
+				StartedTokens: uint32(sum(r.started)), PendingTokens: uint32(max(0, r.pending)), DeniedTokens: uint32(sum(r.denied)), NoRoomTokens: uint32(sum(r.noRoom)),
 			})
 		}
 	}
