Specs on headroom; a fixed order of stalled jobs

Cause: stalled jobs were returned in the order of a map, so that the fleet model took other random numbers in each run: specs passed in one and failed in the next. Change: they are sorted by ID. Specs state which denials lower the others' headroom: lack of room does; a workspace's own share, upstreams that don't exist and callers that leave don't. Accessor of standings in place of a pointer. Specs on headroom pass; with shares counted as lack of room the second case fails.

--- a/policy/place/share.go
+++ b/policy/place/share.go
@@ -54,8 +54,8 @@
 	// minRatePart bounds the part of its rate that a workspace keeps while others are served
 	// worse: at times they can't be served for a reason of their own.
 	minRatePart = 0.35
-	// spareSlope is the fraction of that which a workspace loses for each unit of headroom
-	// that it lacks.
+	// spareSlope is the fraction of that which a workspace loses for each unit by which its
+	// lead lowers leadFactor.
 	spareSlope = 4
 )
 
@@ -98,13 +98,14 @@
 	}
 }
 
-// spareFraction returns what may be admitted beyond a share, as a fraction of it. It is
-// zero soon after the workspace is better served than another one.
+// spareFraction returns what may be admitted beyond a share, as a fraction of it: the less,
+// the further the workspace is ahead of any that is denied something.
 func (u *usageTable) spareFraction(now time.Time, w cleat.WorkspaceID) float64 {
 	if u.joining.active {
 		return 0
 	}
-	return spareShares * max(0, 1-spareSlope*(1-u.leadFactor(now, w, &u.lowestStanding)))
+	standing := u.standing(now, w)
+	return spareShares * max(0, 1-spareSlope*(1-leadFactor(standing-u.lowestStanding)))
 }
 
 // IsWithinShare counts the request of a job that may be submitted later, and reports
--- a/policy/place/stall.go
+++ b/policy/place/stall.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Load pattern of this file: engines hang a part of their requests, or send the head of an
 // answer and no event, while they run the others. Such a job would hold its slot and count
@@ -94,7 +98,7 @@
 }
 
 // Stalled returns the jobs of this entry that their upstreams have passed over since the
-// last call; they are no backlog from now on. It is called at intervals; an entry reads first
+// last call, by ID; they are no backlog from now on. It is called at intervals; an entry reads first
 // events late by its lag.
 func (p *Planner) Stalled(now time.Time, lag time.Duration) []*Job {
 	lag = max(lag, p.stalls.update(now))
@@ -113,6 +117,7 @@
 			p.usage.setPending(now, j, false)
 		}
 	}
+	slices.SortFunc(list, func(a, b *Job) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
--- a/policy/place/standing.go
+++ b/policy/place/standing.go
@@ -62,25 +62,29 @@
 	}
 }
 
+// standing returns the standing of a workspace, and updates all if they are old.
+func (u *usageTable) standing(now time.Time, w cleat.WorkspaceID) float64 {
+	u.share(now)
+	return u.row(now, w).standing
+}
+
 // headroom returns the fraction of the room at engines that jobs of a workspace may use,
 // from minHeadroom to 1. Only workspaces that lack room lower it: others gain nothing by it.
 func (u *usageTable) headroom(now time.Time, w cleat.WorkspaceID) float64 {
-	return u.leadFactor(now, w, &u.lowestNoRoom)
+	standing := u.standing(now, w)
+	return leadFactor(standing - u.lowestNoRoom)
 }
 
-// leadFactor returns 1 for a workspace that isn't ahead of the lowest standing, and less the
-// further it is.
-func (u *usageTable) leadFactor(now time.Time, w cleat.WorkspaceID, lowest *float64) float64 {
-	u.share(now) // Updates the standings.
-	lead := u.row(now, w).standing - *lowest - standingTolerance
-	return min(max(1-headroomSlope*lead, minHeadroom), 1)
+// leadFactor returns 1 for a workspace that isn't ahead of another one, and less the larger
+// its lead is.
+func leadFactor(lead float64) float64 {
+	return min(max(1-headroomSlope*(lead-standingTolerance), minHeadroom), 1)
 }
 
 // isWorstServed reports whether a workspace gets clearly less than another one, and hardly
 // any gets less than it.
 func (u *usageTable) isWorstServed(now time.Time, w cleat.WorkspaceID) bool {
-	u.share(now)
-	standing := u.row(now, w).standing
+	standing := u.standing(now, w)
 	return standing < u.highestStanding-2*standingTolerance && standing <= u.lowestStanding+standingTolerance
 }
 
--- /dev/null
+++ b/policy/place/standing_test.go
@@ -0,0 +1,58 @@
+package place_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/place"
+)
+
+var _ = Describe("Planner, headroom of workspaces", func() {
+	// FAIR and what mending it cost: workspaces that nobody could help slowed all others down.
+	for name, c := range map[string]struct {
+		denied, noRoom uint32 // Of the worse served workspace.
+		least, most    float64
+	}{
+		"is whole while nothing is denied":                            {0, 0, 1, 1},
+		"is whole while another is denied for its own share alone":    {90000, 0, 1, 1},
+		"is whole while another lacks little room":                    {90000, 5000, 1, 1},
+		"falls while a worse served one lacks room":                   {90000, 60000, 0.05, 0.2},
+		"falls less while another one lacks room and gets nearly all": {2000, 2000, 0.8, 0.95},
+	} {
+		It(name, func() {
+			r := newRig(1, 0, 0)
+			r.ApplyReport(r.now, "other", &cleat.PlacementReport{Seq: 1, Usage: []cleat.WorkspaceUsage{
+				{Workspace: "best", StartedTokens: 100000},
+				{Workspace: "worst", StartedTokens: 10000, DeniedTokens: c.denied, NoRoomTokens: c.noRoom},
+			}})
+			Expect(r.Headroom(r.now, modelService, "best")).To(And(BeNumerically(">=", c.least), BeNumerically("<=", c.most)))
+			Expect(r.Headroom(r.now, modelService, "worst")).To(Equal(1.0))
+			Expect(r.Headroom(r.now, plainService, "best")).To(Equal(1.0))
+		})
+	}
+
+	for name, c := range map[string]struct {
+		service cleat.ServiceName
+		outcome place.Outcome
+	}{
+		"isn't lowered by requests that no upstream can run": {"gone", place.OutcomeServed},
+		"isn't lowered by callers that leave":                {modelService, place.OutcomeCanceled},
+	} {
+		It(name, func() {
+			r := newRig(4, 0, 0)
+			for range 50 {
+				good := r.prompt("good", 1, 0, 100, 10)
+				r.submit(good)
+				r.begin(good)
+				r.RecordEnd(r.now, good, place.OutcomeServed)
+				other := r.prompt("other", 2, 0, 100, 10)
+				other.Service = c.service
+				if v, decided := r.Submit(r.now, other); decided && v.Placed() {
+					r.RecordEnd(r.now, other, c.outcome)
+				}
+			}
+			Expect(r.Headroom(r.now, modelService, "good")).To(Equal(1.0))
+		})
+	}
+})
