End stuck last attempts, and overdue ones that may be repeated

Callers of a workspace whose requests may run once only waited up to four seconds for an engine that had passed them over, and held its slot; what was overdue counted as backlog at all entries until then. Change: an attempt without a first event that is overdue is no backlog, as one that is passed over; it ends if the request may be sent again. The last attempt of a request, or the only one, ends if both signs hold: silence alone is no reason to give up. The rule "any later one tells once a job is overdue" is gone with it. The spec on slow engines looked at the last call of Stalled only and so didn't see what it excludes; watch returns all calls now, and the spec says until when a job is granted time.

--- a/policy/place/job.go
+++ b/policy/place/job.go
@@ -24,6 +24,7 @@
 	Route        string             // Route of the request; with the workspace, the key under which its output is estimated.
 	Hint         cost.Hint          // Of the output, as the request states it.
 	Continues    bool               // Its stream was begun by another request, so its output is not the whole one.
+	LastAttempt  bool               // The request must not be sent again after this attempt.
 	Version      string             // Software version that began the job's stream; the only one that can continue it. Empty for a new job.
 
 	counted       bool    // In the workspace's demand.
@@ -37,7 +38,8 @@
 	output        jobOutput
 	hasFirstEvent bool
 	pending       bool          // It counts as pending for its workspace.
-	stalled       bool          // Its upstream has passed it over; it is no backlog there.
+	stalled       bool          // It is no backlog of its upstream, which has passed it over or is unlikely to begin it.
+	ended         bool          // Stalled has returned it.
 	fetches       bool          // Its engine fetches cached blocks from another one first.
 	hasPermit     bool          // It took a permit of its upstream, which has a rate limit.
 	coldTokenAt   time.Time     // When it took a token of its upstream, which is cold; zero for none.
--- a/policy/place/stall.go
+++ b/policy/place/stall.go
@@ -10,7 +10,8 @@
 // answer and no event, while they run the others. Such a job would hold its slot and count
 // as backlog at all entries until its caller leaves. Engines admit requests in the order of
 // arrival, so a job that has no first event is stalled once another one that was sent clearly
-// later has begun, at whichever entry. A slow engine delays all jobs alike and stalls none.
+// later has begun, at whichever entry. An engine that begins nothing passes no job over: one
+// without a first event is overdue there after a multiple of the wait that was expected.
 
 const (
 	// stallMargin is how much later the other job must have been sent: connections and
@@ -78,18 +79,13 @@
 	return time.Duration(float64(tokens)/u.prefillRate) * time.Millisecond
 }
 
-// isPassedOver reports whether the upstream has passed over a job of this entry. Once the job
-// is overdue, any later one that has begun tells.
-func (u *upstream) isPassedOver(now time.Time, lag time.Duration, j *Job) bool {
-	later := u.begunSentAt.Sub(j.sentAt)
-	if u.isOverdue(now, lag, j) && later > stallLagFactor*lag {
-		return true
-	}
+// isPassedOver reports whether the upstream has passed over a job of this entry.
+func (u *upstream) isPassedOver(lag time.Duration, j *Job) bool {
 	allowed := stallMargin + stallLagFactor*lag + stallPrefillFactor*u.prefillTime(j.prefill)
 	if j.fetches {
 		allowed += fetchStallMargin
 	}
-	return later > allowed
+	return u.begunSentAt.Sub(j.sentAt) > allowed
 }
 
 // isOverdue reports whether a job without a first event is unlikely to get one.
@@ -97,24 +93,30 @@
 	return now.Sub(j.sentAt) > maxPending+stallLagFactor*lag+overdueFactor*u.prefillTime(j.backlogAhead+j.prefill)
 }
 
-// Stalled returns the jobs of this entry that their upstreams have passed over since the
-// last call, by ID; they are no backlog from now on. It is called at intervals; an entry reads first
-// events late by its lag.
+// Stalled returns the jobs of this entry, by ID, whose attempts are to end: those that their
+// upstreams have passed over or that are overdue, the last attempt of a request only if both
+// hold. Each is returned once. From the first sign on it is no backlog. Stalled is called at
+// intervals; an entry reads first events late by its lag.
 func (p *Planner) Stalled(now time.Time, lag time.Duration) []*Job {
 	lag = max(lag, p.stalls.update(now))
 	var list []*Job
 	for _, j := range p.jobs {
 		u := j.upstream
-		if u == nil || u.engine == nil || j.hasFirstEvent || j.stalled {
+		if u == nil || u.engine == nil || j.hasFirstEvent || j.ended {
+			continue
+		}
+		passedOver, overdue := u.isPassedOver(lag, j), u.isOverdue(now, lag, j)
+		if !passedOver && !overdue {
 			continue
 		}
-		if u.isPassedOver(now, lag, j) {
+		if !j.stalled {
 			u.removeBacklog(j)
 			j.stalled = true
 			p.usage.setPending(now, j, false)
+		}
+		if !j.LastAttempt || passedOver && overdue {
+			j.ended = true
 			list = append(list, j)
-		} else if u.isOverdue(now, lag, j) {
-			p.usage.setPending(now, j, false)
 		}
 	}
 	slices.SortFunc(list, func(a, b *Job) int { return cmp.Compare(a.ID, b.ID) })
--- a/policy/place/stall_test.go
+++ b/policy/place/stall_test.go
@@ -13,10 +13,10 @@
 var _ = Describe("Planner, jobs that engines pass over", func() {
 	const interval = place.StallCheckInterval
 
-	// watch calls Stalled at intervals, as an entry does, and returns what it returns last.
+	// watch calls Stalled at intervals, as an entry does, and returns all that it returns.
 	watch := func(r *rig, d time.Duration) (list []*place.Job) {
 		for until := r.now.Add(d); r.now.Before(until); r.now = r.now.Add(interval) {
-			list = r.Stalled(r.now, 0)
+			list = append(list, r.Stalled(r.now, 0)...)
 		}
 		return list
 	}
@@ -49,13 +49,14 @@
 		Expect(r.Report(r.now).Loads[0].PendingPrefill).To(BeZero())
 	})
 
-	It("are not stalled at a slow engine, by one that was sent soon after, or by a new incarnation", func() {
+	It("are not stalled before they are overdue, by one that was sent soon after, or by a new incarnation", func() {
 		r := newWatched()
-		first := send(r)
+		send(r)
 		watch(r, 200*time.Millisecond)
-		second := send(r)
-		Expect(watch(r, 3*time.Second)).To(BeEmpty())
-		r.begin(second)
+		r.begin(send(r))
+		Expect(watch(r, 250*time.Millisecond)).To(BeEmpty())
+		r = newWatched()
+		first := send(r)
 		Expect(watch(r, 500*time.Millisecond)).To(BeEmpty())
 		r.records[0].StartedAtMillis = 2
 		r.SetUpstreams(r.records)
@@ -111,14 +112,38 @@
 		Expect(r.Stalled(r.now, 100*time.Millisecond)).To(HaveLen(1))
 	})
 
-	It("are stalled by any later one once they are overdue", func() {
+	It("are stalled once they are overdue, at an engine that begins nothing", func() {
 		r := newWatched()
-		send(r)
+		first := send(r)
 		r.now = r.now.Add(interval)
 		second := send(r)
-		watch(r, 1500*time.Millisecond)
-		r.begin(second)
-		Expect(r.Stalled(r.now, 0)).To(HaveLen(1))
+		Expect(watch(r, 1500*time.Millisecond)).To(ConsistOf(first, second))
+	})
+
+	// FAIR on qila-ops-grown: stuck requests that may not be sent again waited for their
+	// callers for seconds after the keys of their workspace had been revoked.
+	It("are ended on a last attempt only if both overdue and passed over, but are no backlog before", func() {
+		r := newWatched()
+		sendLast := func() *place.Job {
+			j := r.prompt("w", 1, 0, 2000, 10)
+			j.LastAttempt = true
+			Expect(r.submit(j).Placed()).To(BeTrue())
+			Expect(r.MaySend(r.now, j)).To(BeTrue())
+			return j
+		}
+		last := sendLast()
+		watch(r, 400*time.Millisecond)
+		r.begin(send(r))
+		Expect(r.Stalled(r.now, 0)).To(BeEmpty())
+		Expect(r.Report(r.now).Loads[0].PendingPrefill).To(BeZero())
+		Expect(watch(r, time.Second)).To(ConsistOf(last))
+
+		r = newWatched()
+		last = sendLast()
+		Expect(watch(r, 3*time.Second)).To(BeEmpty())
+		Expect(r.Report(r.now).Loads[0].PendingPrefill).To(BeZero())
+		r.begin(send(r))
+		Expect(r.Stalled(r.now, 0)).To(ConsistOf(last))
 	})
 
 	It("are not stalled by answers that aren't streams", func() {
--- a/policy/place/upstream.go
+++ b/policy/place/upstream.go
@@ -141,7 +141,7 @@
 func (u *upstream) addJob(now time.Time, j *Job) {
 	j.upstream = u
 	u.lastSentAt = now
-	j.sentAt, j.lastEventAt, j.hasFirstEvent, j.stalled = now, now, false, false
+	j.sentAt, j.lastEventAt, j.hasFirstEvent, j.stalled, j.ended = now, now, false, false, false
 	cached, _ := u.withFetch(j.source, u.cached(j.Blocks))
 	j.prefill = max(0, j.PromptTokens-cached)
 	j.memory = j.prefill + j.OutputTokens
--- a/role/proxy/run.go
+++ b/role/proxy/run.go
@@ -35,6 +35,7 @@
 		if x.refuseQuarantined(false) {
 			return
 		}
+		x.job.LastAttempt = !x.route.Idempotent() || x.attempts+1 >= x.route.MaxAttempts
 		v, pending := x.role.submit(x.job)
 		if pending != nil || v.Placed() {
 			x.watchCaller()
--- a/role/proxy/stall.go
+++ b/role/proxy/stall.go
@@ -8,16 +8,16 @@
 	"marigoldcleat.example/cleat/policy/place"
 )
 
-// sentJob is a job that was sent, has no first event and may be repeated.
+// sentJob is a stream's job that was sent and has no first event.
 type sentJob struct {
 	conn    *upstreamConn
 	stalled bool // Its upstream has passed it over, and conn was closed for that.
 }
 
 // watched returns the connection of an attempt that ends when its upstream passes it over; nil
-// if the caller can't use a repetition, or has a part of the answer.
+// if it is no stream, or the caller has a part of the answer.
 func (x *exchange) watched(conn *upstreamConn) *upstreamConn {
-	if x.route.Kind != cleat.RouteStream || !x.route.Idempotent() || x.events.started {
+	if x.route.Kind != cleat.RouteStream || x.events.started {
 		return nil
 	}
 	return conn
