An entry that starts needs one other's word to know which upstreams are cold

Callers were refused with warming_up by each entry that started while others were down: isSettling took all upstreams for cold until as many others had reported as control lists, or 1.5 s had passed. So a start waited for entries that were down, and for links in their backoff. An entry that is down can't tell anything; the wait was for those that may know of failed connections, and each report tells only what its sender observed itself.

Entries that have run for 2 s without a stall now put all they know about cold upstreams, also from others, into the introduction that they send when a link comes up, and mark it (Informed). An entry that is younger than 2 s settles by the first of them, as informed as the sender. Younger entries don't introduce themselves so and older ones don't listen, so that nothing is passed on in circles. Without an informed entry it is as before. Who owns a cold upstream, and from when on, is unchanged.

The spec of entries that start while others are down fails with "last refused at 7.39 s" without the introductions, where 6.4 s is allowed; the planner's fails on. The model keeps an entry that is down in the list of members for 2 s.

--- a/placement.go
+++ b/placement.go
@@ -58,7 +58,8 @@
 	Limits       []UpstreamLimit  `msgpack:"m,omitempty"` // Its strings are not interned: entries of an earlier version skip it.
 	Cold         []ColdUpstream   `msgpack:"c,omitempty"` // As Limits.
 	Leaving      bool             `msgpack:"x,omitempty"` // The sender shuts down and gets no further requests.
-	Partial      bool             `msgpack:"i,omitempty"` // Sent when a link has come up, without CachedBlocks, Limits and Cold.
+	Partial      bool             `msgpack:"i,omitempty"` // Sent when a link has come up, without CachedBlocks and Limits.
+	Informed     bool             `msgpack:"n,omitempty"` // Of a partial report: Cold holds all that the sender knows, also from others.
 	Clock        uint32           `msgpack:"k,omitempty"` // Milliseconds on the sender's monotonic clock.
 }
 
--- a/policy/permit/cold.go
+++ b/policy/permit/cold.go
@@ -14,9 +14,6 @@
 	// startGrace is how long an entry that has just started owns no upstream: its list of
 	// members may be incomplete.
 	startGrace = 2 * time.Second
-	// maxSettling bounds how long an entry that has just started takes all upstreams for
-	// cold, until it has heard from all others. Half of them may have started too.
-	maxSettling = 1500 * time.Millisecond
 	// maxStall is the time without a report of its own after which an entry counts as
 	// stalled: others may have taken over its upstreams.
 	maxStall = 1500 * time.Millisecond
@@ -59,6 +56,7 @@
 	isLeaving        bool      // This entry shuts down.
 	knowsMembers     bool      // The fleet's members are known.
 	settled          bool      // What the others know has arrived.
+	introductions    []introduction
 	startedAt        time.Time // When the table was first used.
 	seenAt           time.Time // The latest time that was passed.
 	reportedAt       time.Time // When this entry last reported.
@@ -153,7 +151,8 @@
 		return
 	}
 	why := "announced"
-	if !known || r.born < u.StartedAtMillis {
+	isNew := !known || r.born < u.StartedAtMillis
+	if isNew {
 		*r = coldRow{until: r.until, since: r.since, isMarked: r.isMarked, owned: r.owned, checkedAt: r.checkedAt, tokens: r.tokens, filledAt: r.filledAt}
 		// An entry that has just started hears of all upstreams for the first time.
 		age := now.Sub(time.UnixMilli(u.StartedAtMillis))
@@ -173,6 +172,9 @@
 	if !known && !wasCold {
 		r.since = time.Time{} // Nobody has sent to it.
 	}
+	if isNew {
+		t.applyIntroductions(now, u.Upstream)
+	}
 }
 
 // RecordWarmUp applies an answer in which an upstream says how long it is still cold.
@@ -250,18 +252,6 @@
 	return now.Before(t.cold.until) || now.Before(t.cold.brokenUntil)
 }
 
-// isSettling reports whether this entry has just started and doesn't know yet which
-// upstreams others take for cold.
-func (t *Table) isSettling(now time.Time) bool {
-	c := &t.cold
-	if c.settled {
-		return false
-	}
-	t.note(now)
-	c.settled = now.Sub(c.startedAt) >= maxSettling || (c.knowsMembers && t.livePeers(now) >= t.members)
-	return !c.settled
-}
-
 // ownerOf returns the entry that sends to an upstream while it is cold: the first by
 // rendezvous hashing of those in touch that don't shut down. It returns none if those in
 // touch are too few.
--- a/policy/permit/cold_model_test.go
+++ b/policy/permit/cold_model_test.go
@@ -18,6 +18,7 @@
 	coldPer     = 16.0
 	coldBound   = 29 // Requests in any second: coldPer times 1.5, and 5.
 	heartbeats  = 1200 * time.Millisecond
+	memberGrace = 2 * time.Second        // For which an entry that is down stays a member.
 	coldAnswer  = 200 * time.Millisecond // From a request's arrival to its answer.
 )
 
@@ -34,6 +35,8 @@
 	linked    func(t time.Duration, a, b int) bool // Whether entries reach each other; nil for always.
 	reached   func(t time.Duration, i int) bool    // Whether control reaches an entry; nil for always.
 	lag       func(t time.Duration, i int) time.Duration
+	linkDelay time.Duration        // Within which links to an entry that starts come up.
+	linkUpAt  map[[2]int]time.Time // By the smaller number first.
 	timeline  map[int64][]func()
 	refusedAt time.Duration // When a request was last refused.
 }
@@ -42,6 +45,7 @@
 	table       *permit.Table
 	generation  int
 	dead        bool
+	diedAt      time.Time
 	leaving     bool // It reports, but gets no requests.
 	frozenUntil time.Time
 	backlog     []func() // What arrived while it was frozen.
@@ -63,7 +67,7 @@
 }
 
 func newColdModel(entries, upstreams int, seed int64) *coldModel {
-	m := &coldModel{rnd: rand.New(rand.NewSource(seed)), now: start, timeline: make(map[int64][]func()), control: roster.New(), demand: 60}
+	m := &coldModel{rnd: rand.New(rand.NewSource(seed)), now: start, timeline: make(map[int64][]func()), linkUpAt: make(map[[2]int]time.Time), control: roster.New(), demand: 60}
 	for i := range upstreams {
 		m.upstreams = append(m.upstreams, &coldUpstream{isUp: true, record: cleat.UpstreamRecord{
 			Upstream: cleat.UpstreamID(fmt.Sprintf("m%d", i)), Service: coldService, Domain: "a", Address: fmt.Sprintf("10.0.0.%d:1", i),
@@ -105,12 +109,12 @@
 
 func (m *coldModel) kill(i int) {
 	e := m.entries[i]
-	e.dead, e.backlog = true, nil
+	e.dead, e.diedAt, e.backlog = true, m.now, nil
 	e.generation++
 	for k := range m.entries { // The links break.
 		m.after(modelLink, func() { m.deliver(k, func(t *permit.Table) { t.RecordLost(m.now, entryName(i)) }) })
 	}
-	m.after(2*time.Second, m.updateMembers)
+	m.after(memberGrace, m.updateMembers)
 }
 
 // restart starts an entry, which knows what control tells it.
@@ -129,12 +133,37 @@
 		})
 	})
 	m.after(100*time.Millisecond, m.updateMembers)
+	for k := range m.entries {
+		if k != i {
+			m.link(i, k)
+		}
+	}
+}
+
+// link connects two entries after some time, and each tells the other what it knows.
+func (m *coldModel) link(a, b int) {
+	d := time.Duration(m.rnd.Int63n(int64(m.linkDelay) + 1)).Truncate(modelStep)
+	m.linkUpAt[[2]int{min(a, b), max(a, b)}] = m.now.Add(d)
+	introduce := func(from, to int) {
+		e := m.entries[from]
+		if e.dead || m.now.Before(e.frozenUntil) || !m.areLinked(a, b) {
+			return
+		}
+		if list, isInformed := e.table.ColdIntroduction(m.now); isInformed {
+			m.after(modelLink, func() { m.deliver(to, func(t *permit.Table) { t.ApplyColdIntroduction(m.now, list) }) })
+		}
+	}
+	m.after(d, func() { introduce(a, b); introduce(b, a) })
+}
+
+func (m *coldModel) areLinked(a, b int) bool {
+	return !m.now.Before(m.linkUpAt[[2]int{min(a, b), max(a, b)}]) && (m.linked == nil || m.linked(m.elapsed(), a, b))
 }
 
 func (m *coldModel) updateMembers() {
 	n := -1
 	for _, e := range m.entries {
-		if !e.dead {
+		if !e.dead || m.now.Sub(e.diedAt) < memberGrace {
 			n++
 		}
 	}
@@ -281,7 +310,7 @@
 		late += m.lag(m.elapsed(), i)
 	}
 	for k := range m.entries {
-		if k == i || (m.linked != nil && !m.linked(m.elapsed(), i, k)) {
+		if k == i || !m.areLinked(i, k) {
 			continue
 		}
 		m.after(late, func() {
--- a/policy/permit/cold_test.go
+++ b/policy/permit/cold_test.go
@@ -164,6 +164,18 @@
 				}
 			}, 0.4,
 		},
+		"entries that start while others are down, their links late and announcements too": {
+			26, 8, down, 3 * time.Second, true,
+			func(m *coldModel) {
+				m.linkDelay = 800 * time.Millisecond
+				for i := range 20 {
+					m.after(4*time.Second, func() { m.kill(i) })
+					if i < 14 {
+						m.after(backAt+time.Duration(i-4)*100*time.Millisecond, func() { m.restart(i) })
+					}
+				}
+			}, 0,
+		},
 	}
 	for name, c := range cases {
 		It("keep to the bound in each second: "+name, func() {
@@ -217,6 +229,23 @@
 		Expect(m.coldBetween(13*time.Second, 14*time.Second, m.upstreams...)).To(BeNumerically(">=", 0.9*m.demand*26), "warm")
 	})
 
+	// They refused their callers' requests for 1.5 s after each start.
+	It("use warm upstreams once they start, though others are down", func() {
+		for seed := range int64(3) {
+			m := newColdModel(26, 8, seed)
+			m.linkDelay = 400 * time.Millisecond
+			startAt := 6 * time.Second
+			for i := range 13 {
+				m.after(startAt-600*time.Millisecond, func() { m.kill(i) })
+			}
+			for i := range 4 {
+				m.after(startAt, func() { m.restart(i) })
+			}
+			m.run(startAt + 3*time.Second)
+			Expect(m.refusedAt).To(BeNumerically("<=", startAt+m.linkDelay), "seed %d", seed)
+		}
+	})
+
 	It("take an upstream for warm that only its owner doesn't reach", func() {
 		t := newColdTable(3)
 		u := cleat.UpstreamRecord{Upstream: upstreamID, Service: coldService, StartedAtMillis: 1, Sequence: 1}
@@ -383,6 +412,31 @@
 		Expect(t.ColdReport(now)).To(HaveLen(1))
 	})
 
+	It("tells an entry that starts all it knows, also before that one has the list of upstreams", func() {
+		other := u
+		other.Upstream = "m9"
+		t.Announce(now, other)
+		pass(coldStart)
+		t.ApplyCold(now, "b", false, []cleat.ColdUpstream{{Upstream: upstreamID, StartedAtMillis: u.StartedAtMillis, FailedAge: time.Second}})
+		list, _ := t.ColdIntroduction(now)
+		for _, listFirst := range []bool{true, false} {
+			next := newColdTable(25)
+			_, isInformed := next.ColdIntroduction(now)
+			Expect(isInformed).To(BeFalse())
+			if listFirst {
+				next.Announce(now, u)
+			}
+			next.ApplyColdIntroduction(now, list)
+			next.Announce(now, u)
+			next.Announce(now, other)
+			Expect(next.IsCold(now, "m9")).To(BeFalse())
+			Expect(next.ColdUntil(upstreamID)).To(Equal(t.ColdUntil(upstreamID)))
+			Expect(next.ColdReport(now)).To(BeEmpty(), "nothing is passed on twice")
+		}
+		t.ApplyColdIntroduction(now, []cleat.ColdUpstream{{Upstream: "m9", StartedAtMillis: u.StartedAtMillis, FailedAge: 1}})
+		Expect(t.IsCold(now, "m9")).To(BeFalse(), "it isn't new")
+	})
+
 	rates := map[string]struct {
 		overshoot, slack, per float64
 		members               int
--- a/policy/permit/failure.go
+++ b/policy/permit/failure.go
@@ -196,28 +196,32 @@
 		p.setLeaving(now, isLeaving)
 	}
 	for i := range list {
-		m := &list[i]
-		r, ok := t.cold.rows[m.Upstream]
-		if !ok || r.born > m.StartedAtMillis {
-			continue
-		}
-		if m.ProofAge > 0 {
-			r.provenAt = latest(r.provenAt, now.Add(-m.ProofAge))
-			t.cold.brokenUntil = latest(t.cold.brokenUntil, now.Add(unreliableTime))
-		}
-		if m.WarmUp > 0 {
-			r.heardUntil = latest(r.heardUntil, now.Add(min(m.WarmUp, maxHeardWarmUp)))
-		}
-		if m.FailedAge > 0 {
-			r.hearFailure(now.Add(-m.FailedAge), t.cold.services[r.service].Start)
-		}
-		if at := now.Add(-m.ReachedAge); m.ReachedAge > 0 && at.After(r.last().failedAt) && !r.heard.reachedAt.After(r.last().failedAt) {
-			r.heard.reachedAt = at
-		}
-		t.refresh(now, m.Upstream, r, "peer")
+		t.mergeCold(now, now, &list[i])
 	}
 }
 
+// mergeCold merges what another entry knew at a time about a cold upstream.
+func (t *Table) mergeCold(now, knownAt time.Time, m *cleat.ColdUpstream) {
+	r, ok := t.cold.rows[m.Upstream]
+	if !ok || r.born > m.StartedAtMillis {
+		return
+	}
+	if m.ProofAge > 0 {
+		r.provenAt = latest(r.provenAt, knownAt.Add(-m.ProofAge))
+		t.cold.brokenUntil = latest(t.cold.brokenUntil, now.Add(unreliableTime))
+	}
+	if m.WarmUp > 0 {
+		r.heardUntil = latest(r.heardUntil, knownAt.Add(min(m.WarmUp, maxHeardWarmUp)))
+	}
+	if m.FailedAge > 0 {
+		r.hearFailure(knownAt.Add(-m.FailedAge), t.cold.services[r.service].Start)
+	}
+	if at := knownAt.Add(-m.ReachedAge); m.ReachedAge > 0 && at.After(r.last().failedAt) && !r.heard.reachedAt.After(r.last().failedAt) {
+		r.heard.reachedAt = at
+	}
+	t.refresh(now, m.Upstream, r, "peer")
+}
+
 // hearFailure records another entry's failure.
 func (r *coldRow) hearFailure(at time.Time, start time.Duration) {
 	if !at.After(r.heard.failedAt) {
@@ -264,6 +268,9 @@
 
 // expireCold notes which upstreams became warm.
 func (t *Table) expireCold(now time.Time) {
+	if !t.isNew(now) {
+		t.cold.introductions = nil
+	}
 	t.cold.until = time.Time{}
 	for id, r := range t.cold.rows {
 		t.cold.until = latest(t.cold.until, r.until)
--- a/policy/place/cold_test.go
+++ b/policy/place/cold_test.go
@@ -18,6 +18,13 @@
 // newColdRig returns a planner of an entry with other ones, for engines that may be cold
 // and plain upstreams that never are. It has run for a while.
 func newColdRig(engines, plain, others int) *rig {
+	r := startColdRig(engines, plain, others)
+	r.pass(3 * time.Second)
+	return r
+}
+
+// startColdRig returns such a planner that has just started.
+func startColdRig(engines, plain, others int) *rig {
 	r := newRig(engines, plain, 0)
 	r.Planner = place.New(place.Config{Self: "a", Domain: "a", ColdOvershoot: 1.5, ColdSlack: 5})
 	r.SetServices([]cleat.Service{
@@ -29,7 +36,6 @@
 	for i := range r.records {
 		r.announce(i, 0)
 	}
-	r.pass(3 * time.Second)
 	return r
 }
 
@@ -291,6 +297,18 @@
 		Expect(b.Report(b.now).Cold).To(BeEmpty())
 	})
 
+	// It refused its callers' requests as warming_up until all entries were up, or for 1.5 s.
+	It("knows at its start which upstreams are cold, though all others but one are down", func() {
+		a := newColdRig(2, 0, 25)
+		a.RecordEnded(a.now, a.records[1])
+		b := startColdRig(2, 0, 25)
+		Expect(b.submit(b.prompt("w", 1, 100, 100, 20)).Reason).To(Equal(place.ReasonWarmingUp))
+		b.RecordLinked("other")
+		b.ApplyReport(b.now, "other", a.Introduction(a.now))
+		Expect(b.ColdCounts(b.now).Cold).To(Equal(1))
+		Expect(b.submit(b.prompt("w", 1, 100, 100, 20)).Upstream.Upstream).To(Equal(b.records[0].Upstream))
+	})
+
 	It("takes all upstreams of a domain for cold when its evacuation ends, and uses them at once", func() {
 		r := newColdRig(2, 0, 0)
 		r.records[1].Domain = "b"
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -39,6 +39,7 @@
 // up. The next report holds the rest.
 func (p *Planner) Introduction(now time.Time) *cleat.PlacementReport {
 	m := &cleat.PlacementReport{Seq: p.seq, Partial: true, Usage: p.usage.report(now), Clock: p.reportClock(now)}
+	m.Cold, m.Informed = p.limits.ColdIntroduction(now)
 	for id, u := range p.upstreams {
 		if recent := u.recentPrefill.sum(now); len(u.jobs) > 0 || recent > 0 {
 			m.Loads = append(m.Loads, u.load(now, id, recent))
@@ -79,6 +80,9 @@
 	q.clock.update(now, m.Clock)
 	p.addPeerReport(q, 1)
 	if p.updateJoining(now); m.Partial {
+		if m.Informed {
+			p.limits.ApplyColdIntroduction(now, m.Cold)
+		}
 		return
 	}
 	p.applyBegun(q)
