Repeat a passed-over attempt whose first event is read as it is ended

Callers' streams were cut after the first event, and the engine was taken for one that breaks off. Cause: stallLoop closes the connection while the first event of the job is being handled. The event was relayed, which forgot the mark on the attempt, so the end of the connection counted as the upstream's: a failed attempt, a mark on the connection, a check whether the engine has ended, a possible crash under the request. Two branches that can't be reached any more are gone.

--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -175,9 +175,6 @@
 		if x.ctx.Err() != nil {
 			return x.handleConnLost(u, err), nil
 		}
-		if x.endStalled(u) {
-			return resultFailed, nil
-		}
 		res := x.recordCorrupt(u, err.Error())
 		x.recordBroken(u)
 		return res, nil
--- a/role/proxy/stream.go
+++ b/role/proxy/stream.go
@@ -42,9 +42,14 @@
 		buf = buf[:len(buf)+n]
 		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
 			end += len(eventEnd)
-			if !x.answerStarted && !x.recordStart(u) {
-				conn.close()
-				return x.handleStreamBroken(u, errors.New("the upstream has restarted with another version"))
+			if !x.answerStarted {
+				if x.endStalled(u) { // Closed after this was read.
+					return resultFailed
+				}
+				if !x.recordStart(u) {
+					conn.close()
+					return x.handleStreamBroken(u, errors.New("the upstream has restarted with another version"))
+				}
 			}
 			if writeErr := x.relayEvents(resp, buf[:end]); writeErr != nil {
 				conn.close()
@@ -123,9 +128,6 @@
 		return resultFailed
 	}
 	if x.endStalled(u) {
-		if x.events.started {
-			return resultBroken
-		}
 		return resultFailed
 	}
 	x.mayHaveRun = true
