Don't close a connection that is back in its pool when the caller leaves

Requests that may run only once ended with 502, and engines were taken for broken ones, though nothing was wrong with either. Cause: the connection to the upstream is closed when the caller leaves, until the attempt's handler returns. By then the connection can be back in its pool, and another caller's request on it: callers that close as soon as they have their answer fall into that time. Found while looking for races of stallLoop; older than it. Change: releaseConn ends the watch first, and closes the connection if it is too late.

--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -57,8 +57,8 @@
 	x.attempts++
 	x.answerStarted, x.begun, x.attemptEvents = false, false, 0
 	x.sentAt = x.role.clock.Now()
-	stop := context.AfterFunc(x.ctx, conn.close)
-	defer stop()
+	x.keepOpen = context.AfterFunc(x.ctx, conn.close)
+	defer x.keepOpen()
 	head := x.encodeHead(u)
 	resp, info, err := conn.roundTrip(head, x.body, x.r.Method, x.info.ID, x.role.cfg.Dialect)
 	if err != nil {
@@ -157,9 +157,9 @@
 }
 
 // releaseConn returns the connection to the pool after a complete answer, unless
-// the rest of a long request may still be written to it.
+// the rest of a long request may still be written to it, or the caller's leaving closes it.
 func (x *exchange) releaseConn(p *pool, conn *upstreamConn, resp *http.Response) {
-	if resp.Close || len(x.body) > inlineBodyBytes {
+	if resp.Close || len(x.body) > inlineBodyBytes || !x.keepOpen() {
 		conn.close()
 		return
 	}
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -41,15 +41,16 @@
 	job       *place.Job
 	fetchFrom string // Address of the upstream from which the current attempt's fetches cached prefix blocks; empty for none.
 
-	lookupBy      time.Time // Until when a resumption may wait for what this entry doesn't know; zero until it does.
-	refusalFields []any     // Added to the log line of a refusal.
-	sentAt        time.Time // Of the current attempt.
-	attempts      int       // Upstreams that the request was sent to.
-	mayHaveRun    bool      // An upstream may have run the request.
-	answerStarted bool      // The current attempt's answer has started.
-	attemptEvents int       // Events relayed in the current attempt.
-	digest        uint64    // See requestDigest; zero until it is needed.
-	begun         bool      // The current attempt's answer has gone so far that its prompt crashes no upstream.
+	lookupBy      time.Time   // Until when a resumption may wait for what this entry doesn't know; zero until it does.
+	refusalFields []any       // Added to the log line of a refusal.
+	sentAt        time.Time   // Of the current attempt.
+	keepOpen      func() bool // Keeps the current attempt's connection from being closed when ctx ends; false if it has been.
+	attempts      int         // Upstreams that the request was sent to.
+	mayHaveRun    bool        // An upstream may have run the request.
+	answerStarted bool        // The current attempt's answer has started.
+	attemptEvents int         // Events relayed in the current attempt.
+	digest        uint64      // See requestDigest; zero until it is needed.
+	begun         bool        // The current attempt's answer has gone so far that its prompt crashes no upstream.
 	events        eventState
 }
 
--- a/role/proxy/stall_test.go
+++ b/role/proxy/stall_test.go
@@ -283,4 +283,105 @@
 			Expect(e.conns[runs[0]]).To(Equal(1), "the upstream was checked as one that has broken off")
 		})
 	}
+
+	// Another request, which may run once only, could be on the connection by then.
+	for name, c := range map[string]struct {
+		route  string
+		notRun bool
+	}{
+		"its caller leaves":              {route: "look"},
+	} {
+		It("leave a connection alone that is back in its pool when "+name, func() {
+			e := newTestEntry(retries, "v1", 10*time.Second)
+			received, release := make(chan struct{}), make(chan struct{})
+			e.handle = func(w http.ResponseWriter, r *http.Request) {
+				if len(e.ran("x")) == 1 {
+					close(received)
+					<-release
+				}
+				if c.notRun {
+					w.Header().Set("Not-Run", "1")
+				}
+				answer(w, r)
+			}
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			got := e.start(ctx, c.route, "x")
+			Eventually(received, "5s").Should(BeClosed())
+			e.mu.Lock()
+			idle := func() (list []*upstreamConn) {
+				for _, p := range e.pools {
+					p.mu.Lock()
+					list = append(list, p.idle...)
+					p.mu.Unlock()
+				}
+				return list
+			}
+			close(release)
+			for end := time.Now().Add(500 * time.Millisecond); len(idle()) == 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			if c.notRun {
+				e.stallAll()
+			} else {
+				leave()
+			}
+			time.Sleep(100 * time.Millisecond) // For the news to arrive.
+			closed := slices.ContainsFunc(idle(), func(c *upstreamConn) bool { return !c.isReusable() })
+			e.mu.Unlock()
+			<-got
+			Expect(closed).To(BeFalse())
+		})
+	}
+
+	It("harm no other requests while callers leave", func() {
+		e := newTestEntry(retries, "v1", 10*time.Second)
+		rnd, draws := rand.New(rand.NewSource(1)), sync.Mutex{}
+		upTo := func(d time.Duration) time.Duration {
+			draws.Lock()
+			defer draws.Unlock()
+			return time.Duration(rnd.Int63n(int64(d)))
+		}
+		e.handle = func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(upTo(2 * time.Millisecond))
+			answer(w, r)
+		}
+		ctx, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		var g sync.WaitGroup
+		g.Go(func() {
+			for ctx.Err() == nil {
+				time.Sleep(upTo(time.Millisecond))
+				e.mu.Lock()
+				e.stallAll()
+				e.mu.Unlock()
+			}
+		})
+		for i := range 24 {
+			route := strings.Fields(testRoutes)[i%4]
+			leaves := i%8 >= 4
+			g.Go(func() {
+				defer GinkgoRecover()
+				for n := 0; ctx.Err() == nil; n++ {
+					id, callCtx, stop := fmt.Sprint(route, i, n), context.Background(), func() {}
+					if leaves {
+						callCtx, stop = context.WithTimeout(callCtx, upTo(6*time.Millisecond))
+					}
+					a := e.send(callCtx, route, id)
+					stop()
+					runs := len(e.ran(id))
+					Expect(runs).To(BeNumerically("<=", map[bool]int{true: 1, false: 2}[route == "once" || route == "alone"]))
+					switch {
+					case a.status == http.StatusServiceUnavailable:
+						Expect(runs).To(BeZero(), "%s has run and was refused", id)
+					case a.status == http.StatusOK && a.whole:
+						Expect(a.body).To(Equal(testEvents))
+					case !leaves && (route == "once" || route == "look"):
+						Expect(a.status).To(Equal(http.StatusOK), "%s ran %d times: %s", id, runs, a.body)
+					}
+				}
+			})
+		}
+		g.Wait()
+	})
 })
