Take a refusal with status 200 out of the watch for passed-over attempts

The connection of another request could be closed by stallLoop. Cause: an answer with status 200 that says the request has not run goes back to its pool while the attempt is still watched; only other statuses ended the watch. Evidence: role/proxy, "leave a connection alone that is back in its pool when an odd refusal was passed over": the pooled connection was closed before. Change: such an answer ends the watch like other statuses.

--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -65,7 +65,7 @@
 		conn.close()
 		return x.handleConnLost(u, err), nil
 	}
-	if resp.StatusCode != http.StatusOK && x.endStalled(u) {
+	if (resp.StatusCode != http.StatusOK || info.NotRun) && x.endStalled(u) {
 		conn.close()
 		return resultFailed, nil
 	}
--- a/role/proxy/stall_test.go
+++ b/role/proxy/stall_test.go
@@ -290,6 +290,7 @@
 		notRun bool
 	}{
 		"its caller leaves":              {route: "look"},
+		"an odd refusal was passed over": {route: "stream", notRun: true},
 	} {
 		It("leave a connection alone that is back in its pool when "+name, func() {
 			e := newTestEntry(retries, "v1", 10*time.Second)
