Watch jobs that were overtaken while they were being connected

An attempt that an engine hung was not ended before its caller's deadline, and counted as neither backlog nor pending. Cause: between the choice of the engine and the sending, a connection is dialled. A later job that began meanwhile marked the job as passed over though the engine didn't have it; nothing was there to be closed, and a job is marked once only. Evidence: policy/place, "are stalled by what begins after they were sent, not while they were being connected": pending 0 after MaySend before. Change: MaySend counts the job as backlog and pending again; what begins from then on tells.

--- a/policy/place/gate.go
+++ b/policy/place/gate.go
@@ -85,6 +85,11 @@
 		}
 	}
 	j.sentAt = now
+	if j.stalled { // Later ones have begun while it was being connected.
+		j.stalled = false
+		u.pendingPrefill += j.prefill
+	}
+	p.usage.setPending(now, j, true)
 	return true
 }
 
--- a/policy/place/stall_test.go
+++ b/policy/place/stall_test.go
@@ -121,6 +121,25 @@
 		Expect(r.Stalled(r.now, 0)).To(HaveLen(1))
 	})
 
+	// An attempt that was connected slowly was never ended when its engine hung it.
+	It("are stalled by what begins after they were sent, not while they were being connected", func() {
+		r := newWatched()
+		slow := r.prompt("w", 1, 0, 2000, 10)
+		Expect(r.submit(slow).Placed()).To(BeTrue())
+		watch(r, 500*time.Millisecond)
+		r.begin(send(r))
+		watch(r, 300*time.Millisecond)
+		Expect(r.MaySend(r.now, slow)).To(BeTrue())
+		usage, load := r.ShareUsage(r.now, "w"), r.Report(r.now).Loads[0]
+		Expect(usage.Pending).To(BeNumerically(">", 0))
+		Expect(load.PendingPrefill).To(BeNumerically(">", 0))
+		Expect(watch(r, 500*time.Millisecond)).To(BeEmpty())
+		r.begin(send(r))
+		Expect(r.Stalled(r.now, 0)).To(ConsistOf(slow))
+		r.RecordEnd(r.now, slow, place.OutcomeStalled)
+		Expect(r.Report(r.now).Loads[0].PendingPrefill).To(BeZero())
+	})
+
 	It("are not stalled by answers that aren't streams", func() {
 		r := newWatched()
 		send(r)
