Keep a process that starts from being ended by SIGHUP

A restarted entry ended again within 50 ms, and stayed away until somebody started it. Cause: SIGHUP was caught only after the role was open: settings read, addresses bound, at control instances the data folder read. Until then it ends the process. Evidence: platform/soak, TestHangupDuringStart: "ended by hangup" for both roles before. Change: SIGHUP is caught first. Result: TestHangupDuringStart passes, three times.

--- a/cmd/hosted/control.go
+++ b/cmd/hosted/control.go
@@ -49,7 +49,6 @@
 		return trace.Wrap(err)
 	}
 	go watchControls(f.settingsFile, boot.Controls, role, logger)
-	ignoreHangup(logger)
 	return telem.RunDaemon(logger, role)
 }
 
--- a/cmd/hosted/entry.go
+++ b/cmd/hosted/entry.go
@@ -51,7 +51,6 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	ignoreHangup(logger)
 	return telem.RunDaemon(logger, role)
 }
 
--- a/cmd/hosted/main.go
+++ b/cmd/hosted/main.go
@@ -38,6 +38,7 @@
 }
 
 func main() {
+	hangups := catchHangups()
 	app := kingpin.New("hosted", usage)
 	f := &flags{}
 	app.Flag("fleet-key", "Key shared by all instances of the fleet.").Envar("CLEAT_FLEET_KEY").Required().StringVar(&f.fleetKey)
@@ -60,6 +61,7 @@
 		exitUsage(err)
 	}
 	assert.SetHook(func(name, msg string) { logger.Error("invariant violated", "invariant", name, "seen", msg) })
+	go logHangups(hangups, logger)
 	limitMemory(boot)
 	logger.Info("starting", "command", command, "first_start", boot.FirstStart, "controls", boot.Controls, "memory", boot.MemoryBytes)
 	err = nil
--- a/cmd/hosted/process.go
+++ b/cmd/hosted/process.go
@@ -27,14 +27,16 @@
 	}
 }
 
-// ignoreHangup keeps SIGHUP from ending the process: the settings file is read
-// again every second anyway.
-func ignoreHangup(logger *log.Logger) {
+// catchHangups keeps SIGHUP from ending the process: the settings file is read again every
+// second anyway. It is called first, since settings may change while the process starts.
+func catchHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for range hangups {
-			logger.Info("SIGHUP ignored; the settings file is polled for changes")
-		}
-	}()
+	return hangups
+}
+
+func logHangups(hangups <-chan os.Signal, logger *log.Logger) {
+	for range hangups {
+		logger.Info("SIGHUP ignored; the settings file is polled for changes")
+	}
 }
