--- a/policy/place/gate.go
+++ b/policy/place/gate.go
@@ -86,7 +86,7 @@
 	}
 	j.sentAt = now
 	if j.stalled { // Later ones have begun while it was being connected.
-		j.stalled = false
+		j.stalled, j.ended = false, false
 		u.pendingPrefill += j.prefill
 	}
 	p.usage.setPending(now, j, true)
