Count a stuck attempt whose caller leaves as denied

Workspaces whose requests may run once only seemed well served while engines hung them, and were slowed down for others that fared alike. Cause: attempts that are passed over and repeated count as denied and as failures of the engine, those whose callers leave as neither. Change: a job that was stalled and whose caller leaves ends as a stalled one.

--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -59,13 +59,16 @@
 
 // RecordEnd removes a sent job that ended and records its outcome for the upstream. A
 // job that was not started doesn't count against its workspace's share; one whose caller
-// left counts, as the upstream may have prefilled its prompt.
+// left counts, as the upstream may have prefilled its prompt, unless that had passed it over.
 func (p *Planner) RecordEnd(now time.Time, j *Job, o Outcome) {
 	u := j.upstream
 	if u == nil {
 		return
 	}
 	p.usage.setPending(now, j, false)
+	if o == OutcomeCanceled && j.stalled && !j.hasFirstEvent {
+		o = OutcomeStalled
+	}
 	if !j.hasFirstEvent && (o == OutcomeFailed || o == OutcomeLost || o == OutcomeStalled) {
 		p.usage.addDenied(now, j, true)
 	}
--- a/policy/place/standing_test.go
+++ b/policy/place/standing_test.go
@@ -1,6 +1,8 @@
 package place_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -55,4 +57,44 @@
 			Expect(r.Headroom(r.now, modelService, "good")).To(Equal(1.0))
 		})
 	}
+
+	// Requests that engines hang counted as denied only if they could be repeated: a workspace
+	// whose requests can't be seemed well served, and was slowed down for the others.
+	It("isn't lowered by requests that engines pass over, if the workspace's own fare no better", func() {
+		r := newRig(20, 0, 0)
+		stalled := make(map[*place.Job]bool)
+		type call struct {
+			job  *place.Job
+			left time.Time // When its caller leaves.
+		}
+		var hung []call
+		for i := range 800 { // Engines run one of four requests of each.
+			for _, w := range []cleat.WorkspaceID{"repeatable", "not-repeatable", "large", "large", "large"} {
+				j := r.prompt(w, uint64(i), 0, 400, 10)
+				if v, decided := r.Submit(r.now, j); !decided || !v.Placed() {
+					continue
+				}
+				if i%4 == 0 {
+					r.begin(j)
+					r.RecordEnd(r.now, j, place.OutcomeServed)
+					continue
+				}
+				hung = append(hung, call{j, r.now.Add(2 * time.Second)})
+			}
+			if i%5 == 0 {
+				for _, j := range r.Stalled(r.now, 0) {
+					if stalled[j] = true; j.Workspace != "not-repeatable" {
+						r.RecordEnd(r.now, j, place.OutcomeStalled)
+					}
+				}
+			}
+			for ; len(hung) > 0 && !r.now.Before(hung[0].left); hung = hung[1:] {
+				r.RecordEnd(r.now, hung[0].job, place.OutcomeCanceled) // Does nothing for one that has ended.
+			}
+			r.now = r.now.Add(10 * time.Millisecond)
+		}
+		Expect(len(stalled)).To(BeNumerically(">", 600))
+		Expect(r.ShareUsage(r.now, "not-repeatable").Standing).To(BeNumerically("~", r.ShareUsage(r.now, "repeatable").Standing, 0.15))
+		Expect(r.Headroom(r.now, modelService, "not-repeatable")).To(BeNumerically(">", 0.9))
+	})
 })
