A workspace slows those ahead of it by as much as room could give it

Light workspaces behind entries that shed three of ten requests got less than half of their part while engines were short; others got several times as much and had the whole room. Cause: a workspace lowered the others' headroom only if more than half of what it could get was refused for lack of room; with other refusals beside, it had to fall to 0.2 first. Change: the lead of a workspace over another is bounded by what room could raise that one to; the part of one half is gone.

--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -497,6 +497,20 @@
 		})
 	}
 
+	// Workspaces that were refused for lack of room, but less often than for other reasons,
+	// slowed nobody.
+	It("give light workspaces their part of what 8 engines serve while their entries shed 0.3 of the requests", func() {
+		for _, seed := range []int64{21, 22} {
+			m := shortFleet(8, seed)
+			m.busy = func(entry int) bool { return entry >= 10 && entry < 18 && m.rnd.Float64() < 0.3 }
+			m.run(4 * time.Second)
+			warmUp := len(m.seconds)
+			m.run(20 * time.Second)
+			m.seconds = m.seconds[warmUp:]
+			Expect(m.starved()).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
 	// FAIR while entries restart: an entry that starts divides the stated capacity, and what
 	// the others have learnt is averaged with it. Jobs within their shares are refused for
 	// lack of room then, whatever their workspaces have received.
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -52,6 +52,8 @@
 	spareCredit                  credit             // Beyond the share, at engines with spare time.
 	refused                      RefusalCounts
 	standing                     float64 // See updateStandings.
+	withRoom                     float64 // Standing that it would have if it hadn't lacked room.
+	lead                         float64 // Largest lead over a workspace that lacks room.
 }
 
 func (u *workspaceUsage) advance(bucket int64) {
@@ -102,7 +104,6 @@
 	peers                           int           // Other entries from which reports come.
 	heardDemand                     int           // Those whose reports tell of new demand, since epoch.
 	lowestStanding, highestStanding float64       // Of the workspaces that requested anything.
-	lowestNoRoom                    float64       // Of those that lack room at engines.
 	meanCost                        float64       // Moving average of the cost of the requests here.
 	reportDelay                     time.Duration // Time within which all of them have reported a new demand.
 }
