A closed connection is not counted against a later incarnation

Upstreams that had been warm again for a moment were taken for cold, and all their callers refused with warming_up for up to 3 s more: after a restart, the first request of each entry counted a connection that the upstream had closed before it (pool.lost). The entry had found it closed while the upstream was down, and connecting had then failed, so that attempt.go read the flag only after the next connection was made, to the new incarnation.

The flag is dropped when no connection can be made: that failure is recorded by itself.

--- a/role/proxy/conn.go
+++ b/role/proxy/conn.go
@@ -160,6 +160,9 @@
 	}}
 	c, err := d.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
+		if ctx.Err() == nil {
+			p.takeLost() // This failure tells more; the next connection may be to a later incarnation.
+		}
 		return nil, trace.Wrap(err, "pool.dial")
 	}
 	return newUpstreamConn(c, p.cfg, now), nil
--- a/role/proxy/conn_test.go
+++ b/role/proxy/conn_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -58,6 +59,32 @@
 	}
 }
 
+// An upstream that was warm again was taken for cold: a connection that it had closed before
+// it restarted was counted with the first one after it.
+func TestClosedConnectionIsForgottenOnceNoneCanBeMade(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	var cfg Config
+	cfg.Defaults()
+	for _, ctx := range []context.Context{t.Context(), canceled} {
+		p := newPool(l.Addr().String(), &cfg)
+		p.recordLost()
+		if _, err := p.get(ctx, time.Now(), time.Time{}); err == nil {
+			t.Fatal("connected")
+		}
+		if lost := p.takeLost(); lost != (ctx.Err() != nil) {
+			t.Errorf("canceled %v: lost %v", ctx.Err() != nil, lost)
+		}
+	}
+}
+
 // A connection on which nothing was sent stays in use only if it was idle before.
 func TestConnectionIsPutBack(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
