--- a/policy/place/fleet_test.go
+++ b/policy/place/fleet_test.go
@@ -31,6 +31,7 @@
 	silent         func(t time.Duration, entry int) bool // Whether an entry sends no reports; nil for never.
 	busy           func(entry int) bool                  // Whether an entry refuses a request for lack of processor time; nil for never.
 	hung           float64                               // Part of the requests that engines never begin.
+	failing        cleat.WorkspaceID                     // Workspace whose requests engines answer with an error.
 
 	rnd      *rand.Rand
 	now      time.Time
@@ -265,6 +266,10 @@
 		})
 		return
 	}
+	if m.failing != "" && v.Job.Workspace == m.failing {
+		m.after(modelStep, func() { p.RecordEnd(m.now, v.Job, place.OutcomeFailed) })
+		return
+	}
 	prefill := time.Duration(v.PrefillTokens) * time.Millisecond / modelPrefill
 	first := max(0, m.idleAt[id].Sub(m.now)) + prefill
 	m.idleAt[id] = m.now.Add(first)
@@ -511,6 +516,17 @@
 		}
 	})
 
+	// A workspace that nobody can help slowed all others down.
+	It("go on using the stated capacity while engines fail all requests of one workspace, and no others", func() {
+		const seconds = 4
+		m := overloadedFleet()
+		m.failing = "failing"
+		m.callers = append(m.callers, callers{workspace: m.failing, entries: m.all(), rate: 8})
+		m.run(16 * time.Second)
+		begun := m.begun()
+		Expect(total(begun[len(begun)-seconds:])).To(BeNumerically(">", 900_000*seconds), "begun in each second: %v", begun)
+	})
+
 	// FAIR while entries restart: an entry that starts divides the stated capacity, and what
 	// the others have learnt is averaged with it. Jobs within their shares are refused for
 	// lack of room then, whatever their workspaces have received.
