--- a/cmd/gauge/bench/placement_test.go
+++ b/cmd/gauge/bench/placement_test.go
@@ -22,7 +22,11 @@
 		// A single seed leaves some 90 late requests: too few to compare policies.
 		It("serves more requests in time by the expected output than by prompts alone, "+name, func() {
 			seeds := []int64{1, 2, 3}
-			today, output := measurePlacements(o, bench.PlaceByPrompt, all, seeds), measurePlacements(o, bench.PlaceByOutput, all, seeds)
+			var today, output placementMeans
+			var wg sync.WaitGroup
+			wg.Go(func() { today = measurePlacements(o, bench.PlaceByPrompt, all, seeds) })
+			wg.Go(func() { output = measurePlacements(o, bench.PlaceByOutput, all, seeds) })
+			wg.Wait()
 			Expect(output.late).To(BeNumerically("<", today.late))
 			Expect(output.first).To(BeNumerically("<", today.first))
 			Expect(output.end).To(BeNumerically("<", today.end))
