--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,8 @@
 type scenario func(w *world, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"disk": playDisk,
+	"disk":   playDisk,
+	"expire": playExpire,
 }
 
 func main() {
