--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var scenarios = map[string]scenario{
 	"disk":   playDisk,
 	"expire": playExpire,
+	"forget": playForget,
 }
 
 func main() {
