--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"disk":   playDisk,
 	"expire": playExpire,
 	"forget": playForget,
+	"clock":  playClock,
 }
 
 func main() {
