--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -52,7 +52,9 @@
 	for range 50 {
 		wg.Go(func() {
 			for time.Now().Before(end) {
-				c.send(entry, "/pay/1", 4*time.Second)
+				if a := c.send(entry, "/pay/1", 4*time.Second); a.status != http.StatusOK {
+					time.Sleep(100 * time.Millisecond)
+				}
 			}
 		})
 	}
