--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -245,6 +245,9 @@
 
 // kill ends the process and waits for its end.
 func (p *process) kill() {
+	if p.cmd == nil {
+		return // It could not be started.
+	}
 	_ = p.cmd.Process.Kill() // The process may have ended.
 	<-p.exited
 }
