Let a withdrawal end an upstream whose start its control instance doesn't know

Cause: a control instance that doesn't know the upstream records its withdrawal without a start time. All that know the upstream took that record for one of an earlier incarnation and dropped it.

Such a withdrawal ends now the incarnation that is known, unless that started after it. A control instance that knows the incarnation passes the withdrawal on with it to nodes and to the other control instances, so that the next incarnation is told from a late announcement of this one there, too.

Spec "ends the incarnation that is known" of policy/roster failed before. Why the instance doesn't know the upstream is a fault of its own and not changed here.

--- a/policy/roster/table.go
+++ b/policy/roster/table.go
@@ -19,11 +19,14 @@
 	// be partitioned from the control instances but still usable; entries detect a
 	// failed upstream themselves.
 	AnnouncementTimeout = time.Minute
+	// maxClockSkew bounds the difference between an upstream's clock and this one's.
+	maxClockSkew = 5 * time.Second
 )
 
 // row holds the record of one upstream.
 type row struct {
 	record      cleat.UpstreamRecord
+	since       time.Time // When its incarnation became known.
 	updatedAt   time.Time // When the record was last accepted or withdrawn.
 	coldUntil   time.Time // Until when it is cold, of the latest that was forwarded.
 	saidLeaving bool      // An answer of this incarnation said that it leaves, whatever it announces.
@@ -61,8 +64,11 @@
 
 // Add stores a record unless it is stale, and reports whether it must be forwarded.
 func (t *Table) Add(now time.Time, r cleat.UpstreamRecord) bool {
-	t.recordEnded(now, &r)
 	old, known := t.rows[r.Upstream]
+	if known && r.Phase == cleat.UpstreamGone && r.StartedAtMillis == 0 {
+		return old.endBy(now)
+	}
+	t.recordEnded(now, &r)
 	if known && !supersedes(&r, &old.record) {
 		return false
 	}
@@ -77,20 +83,34 @@
 		r.Phase = cleat.UpstreamLeaving // Announced before, and delayed.
 	}
 	changed := !known || differs(&old.record, &r) || staysCold(now, old, &r)
-	next := &row{record: r, updatedAt: now, saidLeaving: saidLeaving}
+	next := &row{record: r, since: now, updatedAt: now, saidLeaving: saidLeaving}
+	if known && old.record.StartedAtMillis == r.StartedAtMillis {
+		next.since = old.since
+	}
 	next.setColdUntil(now, old, changed)
 	t.rows[r.Upstream] = next
 	t.assignAddress(&r)
 	return changed
 }
 
+// endBy ends the incarnation that is known, by a withdrawal of that time at an instance that
+// didn't know the upstream and so not the incarnation. One that started later is left alone.
+func (r *row) endBy(withdrawn time.Time) bool {
+	started := time.UnixMilli(r.record.StartedAtMillis)
+	if r.record.Phase == cleat.UpstreamGone || (r.since.After(withdrawn) && started.After(withdrawn.Add(-maxClockSkew))) {
+		return false
+	}
+	r.record.Phase, r.updatedAt = cleat.UpstreamGone, withdrawn
+	return true
+}
+
 // adoptIncarnation handles the first announcement after the withdrawal of an unknown
 // upstream; such a withdrawal has no incarnation. The announcement is assumed to have
 // been in transit when the upstream ended, so the withdrawal adopts the announced
 // incarnation. A withdrawal that is WithdrawnRetention old is replaced by the announcement.
 func (t *Table) adoptIncarnation(now time.Time, old *row, r cleat.UpstreamRecord) bool {
 	if now.Sub(old.updatedAt) >= WithdrawnRetention {
-		t.rows[r.Upstream] = &row{record: r, updatedAt: now}
+		t.rows[r.Upstream] = &row{record: r, since: now, updatedAt: now}
 		t.assignAddress(&r)
 		return true
 	}
@@ -133,7 +153,7 @@
 func (t *Table) Withdraw(now time.Time, id cleat.UpstreamID) (cleat.UpstreamRecord, bool) {
 	r, known := t.rows[id]
 	if !known {
-		r = &row{record: cleat.UpstreamRecord{Upstream: id}}
+		r = &row{record: cleat.UpstreamRecord{Upstream: id}, since: now}
 		t.rows[id] = r
 	}
 	if known && r.record.Phase == cleat.UpstreamGone {
--- a/policy/roster/table_test.go
+++ b/policy/roster/table_test.go
@@ -200,6 +200,58 @@
 		Expect(phases()).To(BeEmpty())
 	})
 
+	// DRAIN, review/3 and review/4: the withdrawal of an upstream that control had forgotten was dropped
+	// by all that knew the upstream.
+	Describe("a withdrawal by an instance that doesn't know the upstream", func() {
+		withdrawn := func(at time.Time) *cleat.UpstreamUpdate {
+			other := roster.New()
+			other.Withdraw(at, "a")
+			return other.Complete(now.Add(time.Minute))
+		}
+		apply := func(t *roster.Table, at time.Time, m *cleat.UpstreamUpdate) bool {
+			changed := false
+			for i, when := range t.ApplyTimes(at, m) {
+				changed = t.Add(when, m.Records[i]) || changed
+			}
+			return changed
+		}
+
+		It("ends the incarnation that is known, and passes it on with its start time", func() {
+			t := roster.New()
+			t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
+			t.Add(now.Add(50*time.Second), announcement{"a", "s", "10.0.0.1:1", ready, 5, 2}.record())
+			m := withdrawn(now.Add(10 * time.Second))
+			Expect(apply(t, now.Add(time.Minute), m)).To(BeTrue())
+			Expect(t.Usable()).To(BeEmpty())
+			r, _ := t.ByID("a")
+			Expect(r.StartedAtMillis).To(BeEquivalentTo(5))
+			Expect(apply(t, now.Add(time.Minute), m)).To(BeFalse(), "known")
+			t.Add(now.Add(time.Minute), announcement{"a", "s", "10.0.0.1:1", ready, 5, 3}.record())
+			Expect(t.Usable()).To(BeEmpty(), "after a late announcement")
+			t.Add(now.Add(time.Minute), announcement{"a", "s", "10.0.0.1:1", ready, 9, 1}.record())
+			Expect(t.Usable()).To(HaveLen(1), "the next incarnation")
+		})
+
+		It("leaves an incarnation alone that started after it", func() {
+			t := roster.New()
+			t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
+			started := now.Add(20 * time.Second)
+			t.Add(started, announcement{"a", "s", "10.0.0.1:1", ready, started.UnixMilli(), 1}.record())
+			Expect(apply(t, now.Add(time.Minute), withdrawn(now.Add(10*time.Second)))).To(BeFalse())
+			Expect(t.Usable()).To(HaveLen(1))
+		})
+
+		It("learns its incarnation from those that know it", func() {
+			t, other := roster.New(), roster.New()
+			other.Withdraw(now, "a")
+			t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
+			apply(t, now.Add(time.Second), other.Complete(now.Add(time.Second)))
+			apply(other, now.Add(time.Second), t.Complete(now.Add(time.Second)))
+			other.Add(now.Add(2*time.Second), announcement{"a", "s", "10.0.0.1:1", ready, 9, 1}.record())
+			Expect(other.Usable()).To(HaveLen(1), "the next incarnation")
+		})
+	})
+
 	It("keeps an upstream without announcements until AnnouncementTimeout", func() {
 		t := roster.New()
 		t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
--- a/role/ctrl/upstreams.go
+++ b/role/ctrl/upstreams.go
@@ -77,18 +77,23 @@
 }
 
 // handleUpstreamUpdate merges records from another control instance and sends the new
-// ones to nodes. Control instances are linked to each other directly, so the records are
-// not forwarded to them.
+// ones to nodes. Control instances are linked to each other directly, so only a withdrawal
+// whose incarnation another instance may lack is sent on to them.
 func (r *Role) handleUpstreamUpdate(m *cleat.UpstreamUpdate) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	accepted := &cleat.UpstreamUpdate{}
+	accepted, identified := &cleat.UpstreamUpdate{}, &cleat.UpstreamUpdate{}
 	for i, at := range r.roster.ApplyTimes(now, m) {
 		rec := m.Records[i]
 		r.recordVersionChange(now, rec)
-		if r.roster.Add(at, rec) {
-			accepted.Records = append(accepted.Records, rec)
+		if !r.roster.Add(at, rec) {
+			continue
+		}
+		stored, _ := r.roster.ByID(rec.Upstream)
+		accepted.Records = append(accepted.Records, stored)
+		if stored.StartedAtMillis != rec.StartedAtMillis {
+			identified.Records = append(identified.Records, stored)
 		}
 	}
 	for _, n := range r.nodes {
@@ -96,6 +101,11 @@
 			r.sendOrLog(n.link, accepted)
 		}
 	}
+	for _, p := range r.peers {
+		if len(identified.Records) > 0 {
+			r.sendOrLog(p.links[0], identified)
+		}
+	}
 	if r.roster.ExtendKnowledge(now, m.KnownFor) {
 		r.tellKnowledge(now)
 	}
--- a/role/proxy/control.go
+++ b/role/proxy/control.go
@@ -91,6 +91,7 @@
 			continue
 		}
 		changed = true
+		rec, _ = r.roster.ByID(rec.Upstream) // The withdrawal of an unknown upstream names no service.
 		r.log.Info("upstream known", "upstream", rec.Upstream, "service", rec.Service, "address", rec.Address,
 			"phase", rec.Phase, "version", rec.Version, "born", rec.StartedAtMillis, "sequence", rec.Sequence, "cold", rec.WarmUp)
 	}
