Keep upstreams that announce themselves to another control instance

Callers that took up a stream without naming it got the rest of it from another software version, as a complete answer (ORDER), when the entry that they reached had started after the control instances had been up for over a minute. Cause: announcements without news were not passed on, and an instance removes an upstream that it hasn't heard of for a minute. It then listed only the upstreams of its own failure domain to an entry that started, and vouched that these were all for two minutes, so one version seemed to be the only one. Named streams were refused there as no_version, and new requests went to a part of the upstreams.

Instances now send each other, every 15 s, the records of the upstreams that went on announcing themselves to one of them. Class of fault: a record that expires by silence where silence only means that nothing changed.

The spec of policy/roster is new with the calls that it tests.

--- a/policy/roster/table.go
+++ b/policy/roster/table.go
@@ -19,6 +19,9 @@
 	// be partitioned from the control instances but still usable; entries detect a
 	// failed upstream themselves.
 	AnnouncementTimeout = time.Minute
+	// RenewInterval is the time between lists by which control instances tell each other of
+	// the upstreams that went on announcing themselves to one of them.
+	RenewInterval = AnnouncementTimeout / 4
 	// maxClockSkew bounds the difference between an upstream's clock and this one's.
 	maxClockSkew = 5 * time.Second
 )
@@ -29,6 +32,7 @@
 	since       time.Time // When its incarnation became known.
 	updatedAt   time.Time // When the record was last accepted or withdrawn.
 	coldUntil   time.Time // Until when it is cold, of the latest that was forwarded.
+	unshared    bool      // It announced itself to this process, and nothing was forwarded.
 	saidLeaving bool      // An answer of this incarnation said that it leaves, whatever it announces.
 }
 
@@ -93,6 +97,29 @@
 	return changed
 }
 
+// AddAnnounced stores the record of an upstream that announced itself to this process, and
+// reports whether it must be forwarded at once. Otherwise Renewals returns it later.
+func (t *Table) AddAnnounced(now time.Time, r cleat.UpstreamRecord) bool {
+	changed := t.Add(now, r)
+	stored := t.rows[r.Upstream]
+	stored.unshared = !changed && stored.record.Phase != cleat.UpstreamGone &&
+		stored.record.StartedAtMillis == r.StartedAtMillis && stored.record.Sequence == r.Sequence
+	return changed
+}
+
+// Renewals returns the records of the upstreams that have announced themselves to this
+// process since the last call and that were not forwarded. Others that receive none remove
+// an upstream after AnnouncementTimeout.
+func (t *Table) Renewals(now time.Time) []cleat.UpstreamRecord {
+	list := t.ListAt(now)
+	return slices.DeleteFunc(list, func(r cleat.UpstreamRecord) bool {
+		row := t.rows[r.Upstream]
+		unshared := row.unshared
+		row.unshared = false
+		return !unshared
+	})
+}
+
 // endBy ends the incarnation that is known, by a withdrawal of that time at an instance that
 // didn't know the upstream and so not the incarnation. One that started later is left alone.
 func (r *row) endBy(withdrawn time.Time) bool {
--- a/policy/roster/table_test.go
+++ b/policy/roster/table_test.go
@@ -252,6 +252,34 @@
 		})
 	})
 
+	// ORDER: an instance forgot the upstreams that announced themselves to another one for over a minute.
+	It("keeps an upstream that goes on announcing itself to another process", func() {
+		heard, told := roster.New(), roster.New()
+		r := announcement{"a", "s", "10.0.0.1:1", ready, 5, 0}.record()
+		at := now
+		run := func(d time.Duration, announces bool) {
+			for end := at.Add(d); at.Before(end); at = at.Add(time.Second) {
+				if r.Sequence++; announces && heard.AddAnnounced(at, r) {
+					told.Add(at, r)
+				}
+				if r.Sequence%uint64(roster.RenewInterval/time.Second) == 0 {
+					for _, renewed := range heard.Renewals(at) {
+						Expect(told.Add(at, renewed)).To(BeFalse(), "no news")
+					}
+				}
+				heard.Tick(at)
+				told.Tick(at)
+			}
+		}
+		run(5*time.Minute+time.Second, true)
+		Expect(told.Usable()).To(HaveLen(1))
+		Expect(heard.Renewals(at)).To(HaveLen(1))
+		Expect(heard.Renewals(at)).To(BeEmpty(), "told already")
+		run(roster.AnnouncementTimeout+2*roster.RenewInterval, false)
+		Expect(heard.List()).To(BeEmpty())
+		Expect(told.List()).To(BeEmpty())
+	})
+
 	It("keeps an upstream without announcements until AnnouncementTimeout", func() {
 		t := roster.New()
 		t.Add(now, announcement{"a", "s", "10.0.0.1:1", ready, 5, 1}.record())
--- a/role/ctrl/push.go
+++ b/role/ctrl/push.go
@@ -133,6 +133,7 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	r.members.Tick(now)
+	r.renewUpstreams(now)
 	r.roster.Tick(now)
 	for _, n := range r.nodes {
 		if !n.registered {
--- a/role/ctrl/role.go
+++ b/role/ctrl/role.go
@@ -65,6 +65,7 @@
 
 	roster         *roster.Table  // Of announced upstreams.
 	manifestBodies []manifestBody // Cached bodies of the newest manifests, oldest first.
+	renewedAt      time.Time      // When the other instances were last sent renewals of the roster.
 	confirmedAt    time.Time      // When a quorum last confirmed a read.
 	dialed         map[string]bool
 
--- a/role/ctrl/upstreams.go
+++ b/role/ctrl/upstreams.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"time"
+
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
@@ -30,7 +32,7 @@
 		return trace.Wrap(err)
 	}
 	r.recordVersionChange(r.clock.Now(), rec)
-	if r.roster.Add(r.clock.Now(), rec) {
+	if r.roster.AddAnnounced(r.clock.Now(), rec) {
 		r.log.Info("upstream announced", "upstream", rec.Upstream, "service", rec.Service, "address", rec.Address,
 			"phase", rec.Phase, "version", rec.Version, "born", rec.StartedAtMillis, "sequence", rec.Sequence, "cold", rec.WarmUp)
 		r.broadcastUpstream(rec)
@@ -76,6 +78,22 @@
 	}
 }
 
+// renewUpstreams tells the other control instances of the upstreams that go on announcing
+// themselves to this one. The caller holds r.mu.
+func (r *Role) renewUpstreams(now time.Time) {
+	if now.Sub(r.renewedAt) < roster.RenewInterval {
+		return
+	}
+	r.renewedAt = now
+	m := &cleat.UpstreamUpdate{Records: r.roster.Renewals(now)}
+	if len(m.Records) == 0 {
+		return
+	}
+	for _, p := range r.peers {
+		r.sendOrLog(p.links[0], m)
+	}
+}
+
 // handleUpstreamUpdate merges records from another control instance and sends the new
 // ones to nodes. Control instances are linked to each other directly, so only a withdrawal
 // whose incarnation another instance may lack is sent on to them.
