Don't complete a stream with an answer that is no stream

A caller could get the text of another answer after the events of its stream, and the end of a complete answer (ORDER, MIXED). Cause: when an upstream breaks a stream off after events were relayed, the request goes to another one with Last-Event-Id. An answer of that one with another status than 200 and below 500 was delivered like the answer to a first attempt, into the stream. Found by reading; no run of ours showed an upstream that answers so.

Such an answer ends the attempt as a failure now. The caller's answer is cut, and it may take the stream up itself. Spec "is not completed by an answer that is no stream" failed before: 4 events, then the text, with the last chunk. platform/mock and role/proxy pass.

--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -134,6 +134,9 @@
 		return x.recordCorrupt(u, "the answer has a content coding, or lacks the signature field of an upstream"), nil
 	case x.route.Kind == cleat.RouteStream && resp.StatusCode == http.StatusOK:
 		return x.relayStream(u, p, conn, resp), nil
+	case x.events.started && resp.StatusCode < http.StatusInternalServerError:
+		conn.close()
+		return x.recordCorrupt(u, "status "+strconv.Itoa(resp.StatusCode)+" where the rest of a stream is due"), nil
 	}
 	return x.relayBuffered(u, p, conn, resp)
 }
