Don't continue a stream at an upstream that begins it again

Cause: entries pass Last-Event-Id on and relayed what came without comparing it with what the caller has. An upstream that doesn't know the stream's state, as after a restart, may begin at its first event.

An attempt whose first event doesn't come after the last one counts as broken: the entry may try another upstream of the version, else it cuts the answer, or answers 502 if nothing was relayed. A gap can't be told, as ids only increase.

--- a/role/proxy/stream.go
+++ b/role/proxy/stream.go
@@ -5,6 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
+
+	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
 	"marigoldcleat.example/cleat/policy/place"
@@ -46,6 +49,10 @@
 				if x.endStalled(u) { // Closed after this was read.
 					return resultFailed
 				}
+				if id, ok := x.goesBack(buf[:end]); ok {
+					conn.close()
+					return x.handleStreamBroken(u, trace.BadParameter("the stream goes on at event %q", id))
+				}
 				if !x.recordStart(u) {
 					conn.close()
 					return x.handleStreamBroken(u, errors.New("the upstream has restarted with another version"))
@@ -104,6 +111,35 @@
 	return "", false
 }
 
+// goesBack reports whether the first event of an attempt that resumes a stream doesn't come
+// after those that the caller has, and its id. IDs only increase, so a gap can't be told.
+func (x *exchange) goesBack(events []byte) (string, bool) {
+	last := x.events.lastID
+	if last == "" {
+		last = x.info.LastEvent
+	}
+	id, ok := firstID(events)
+	if !ok || last == "" {
+		return "", false
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	after, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id, id == last
+	}
+	return id, n <= after
+}
+
+// firstID returns the first event ID in a sequence of complete events.
+func firstID(events []byte) (string, bool) {
+	for line := range bytes.Lines(events) {
+		if id, ok := bytes.CutPrefix(line, idPrefix); ok {
+			return string(bytes.TrimSpace(id)), true
+		}
+	}
+	return "", false
+}
+
 // finishStream ends the answer at the end of the upstream's stream; a stream with an
 // incomplete event, or without any, counts as broken.
 func (x *exchange) finishStream(u cleat.UpstreamRecord, p *pool, conn *upstreamConn, resp *http.Response, rest []byte) result {
