Hear an upstream that restarted after its clock was set back

Cause: incarnations of an id are ordered by the start that they announce, a time of day.

The control instance that hears such announcements takes the upstream out of use at once, as it is unclear which incarnation serves. If they go on for 2 s, without the known incarnation announcing itself, it orders the new one after the known one (AnnouncedStart keeps what the upstream said). Incarnations that a later start superseded stay ended, so late announcements of theirs are still dropped.

--- a/policy/roster/table.go
+++ b/policy/roster/table.go
@@ -34,6 +34,8 @@
 	coldUntil   time.Time // Until when it is cold, of the latest that was forwarded.
 	unshared    bool      // It announced itself to this process, and nothing was forwarded.
 	saidLeaving bool      // An answer of this incarnation said that it leaves, whatever it announces.
+	claim       claim     // Of another incarnation that announces an earlier start.
+	ended       []int64   // As announced, the starts of incarnations that later ones have superseded.
 }
 
 // Table holds the latest record of each upstream. It is not safe for concurrent use.
@@ -72,6 +74,9 @@
 	if known && r.Phase == cleat.UpstreamGone && r.StartedAtMillis == 0 {
 		return old.endBy(now)
 	}
+	if known && announcedStart(&r) == announcedStart(&old.record) && r.StartedAtMillis < old.record.StartedAtMillis {
+		r.StartedAtMillis, r.AnnouncedStart = old.record.StartedAtMillis, old.record.AnnouncedStart
+	}
 	t.recordEnded(now, &r)
 	if known && !supersedes(&r, &old.record) {
 		return false
@@ -88,8 +93,8 @@
 	}
 	changed := !known || differs(&old.record, &r) || staysCold(now, old, &r)
 	next := &row{record: r, since: now, updatedAt: now, saidLeaving: saidLeaving}
-	if known && old.record.StartedAtMillis == r.StartedAtMillis {
-		next.since = old.since
+	if known {
+		next.takeHistory(old)
 	}
 	next.setColdUntil(now, old, changed)
 	t.rows[r.Upstream] = next
@@ -158,7 +163,8 @@
 }
 
 // supersedes reports whether a replaces b: a later incarnation, or a later record of
-// the same incarnation. Nothing follows the withdrawal of an incarnation.
+// the same incarnation. Nothing follows the withdrawal of an incarnation. Of equal records
+// the one that takes the upstream out of use replaces the other; see Identify.
 func supersedes(a, b *cleat.UpstreamRecord) bool {
 	if a.StartedAtMillis != b.StartedAtMillis {
 		return a.StartedAtMillis > b.StartedAtMillis
@@ -166,7 +172,8 @@
 	if b.Phase == cleat.UpstreamGone && b.StartedAtMillis != 0 {
 		return false
 	}
-	return a.Phase == cleat.UpstreamGone || a.Sequence > b.Sequence
+	return a.Phase == cleat.UpstreamGone || a.Sequence > b.Sequence ||
+		(a.Sequence == b.Sequence && a.Phase == cleat.UpstreamLeaving && b.Phase == cleat.UpstreamReady)
 }
 
 // differs reports whether the records differ in a field that must be forwarded.
--- a/policy/roster/table_test.go
+++ b/policy/roster/table_test.go
@@ -252,6 +252,74 @@
 		})
 	})
 
+	// DRAIN, review/5: what an upstream announced after its clock was set back was acknowledged and dropped.
+	Describe("an upstream that announces an earlier start than before", func() {
+		var control, entry *roster.Table
+		BeforeEach(func() { control, entry = roster.New(), roster.New() })
+		announce := func(after time.Duration, phase cleat.UpstreamPhase, started int64, seq uint64) {
+			r := announcement{"a", "s", "10.0.0.1:1", phase, started, seq}.record()
+			if r, ok := control.Identify(now.Add(after), r); ok && control.AddAnnounced(now.Add(after), r) {
+				entry.Add(now.Add(after), r)
+			}
+		}
+		phase := func() cleat.UpstreamPhase {
+			c, _ := control.ByID("a")
+			e, _ := entry.ByID("a")
+			Expect(e.Phase).To(Equal(c.Phase))
+			Expect(e.StartedAtMillis).To(Equal(c.StartedAtMillis))
+			return e.Phase
+		}
+
+		It("is out of use until it is clear that it restarted, and is heard then", func() {
+			announce(0, ready, 9, 1)
+			announce(time.Second, ready, 5, 1)
+			Expect(phase()).To(Equal(leaving))
+			announce(2*time.Second, ready, 5, 2)
+			Expect(phase()).To(Equal(leaving))
+			announce(3*time.Second, ready, 5, 3)
+			Expect(phase()).To(Equal(ready))
+			announce(4*time.Second, ready, 9, 2)
+			Expect(phase()).To(Equal(leaving), "which one serves is unclear")
+			announce(5*time.Second, ready, 5, 4)
+			Expect(phase()).To(Equal(ready))
+			announce(6*time.Second, leaving, 5, 5)
+			Expect(phase()).To(Equal(leaving))
+			announce(7*time.Second, ready, 12, 1)
+			Expect(phase()).To(Equal(ready), "the next incarnation")
+			announce(8*time.Second, leaving, 5, 6)
+			Expect(phase()).To(Equal(ready), "a late announcement")
+		})
+
+		It("leaves as soon as it says so", func() {
+			announce(0, ready, 9, 1)
+			announce(time.Second, leaving, 5, 1)
+			Expect(phase()).To(Equal(leaving))
+		})
+
+		It("stays the known incarnation that goes on announcing itself", func() {
+			announce(0, ready, 9, 1)
+			announce(time.Second, ready, 5, 7)
+			announce(2*time.Second, ready, 9, 2)
+			Expect(phase()).To(Equal(ready))
+			announce(4*time.Second, ready, 5, 8)
+			announce(5*time.Second, ready, 9, 3)
+			Expect(phase()).To(Equal(ready))
+			r, _ := entry.ByID("a")
+			Expect(r.StartedAtMillis).To(BeEquivalentTo(9))
+		})
+
+		It("is known to entries when control instances have forgotten the former incarnation", func() {
+			announce(0, ready, 9, 1)
+			for i := range 4 {
+				announce(time.Duration(1+i)*time.Second, ready, 5, uint64(1+i))
+			}
+			control = roster.New()
+			announce(6*time.Second, leaving, 5, 6)
+			e, _ := entry.ByID("a")
+			Expect(e.Phase).To(Equal(leaving))
+		})
+	})
+
 	// ORDER: an instance forgot the upstreams that announced themselves to another one for over a minute.
 	It("keeps an upstream that goes on announcing itself to another process", func() {
 		heard, told := roster.New(), roster.New()
--- a/role/ctrl/upstreams.go
+++ b/role/ctrl/upstreams.go
@@ -31,8 +31,13 @@
 	if err := r.checkQuorumAge(); err != nil {
 		return trace.Wrap(err)
 	}
-	r.recordVersionChange(r.clock.Now(), rec)
-	if r.roster.AddAnnounced(r.clock.Now(), rec) {
+	now := r.clock.Now()
+	rec, ok := r.roster.Identify(now, rec)
+	if !ok {
+		return nil
+	}
+	r.recordVersionChange(now, rec)
+	if r.roster.AddAnnounced(now, rec) {
 		r.log.Info("upstream announced", "upstream", rec.Upstream, "service", rec.Service, "address", rec.Address,
 			"phase", rec.Phase, "version", rec.Version, "born", rec.StartedAtMillis, "sequence", rec.Sequence, "cold", rec.WarmUp)
 		r.broadcastUpstream(rec)
--- a/upstream.go
+++ b/upstream.go
@@ -20,10 +20,14 @@
 	Domain          DomainID      `msgpack:"d,intern"`
 	Slots           int           `msgpack:"n"`
 	Phase           UpstreamPhase `msgpack:"p,intern"`
-	StartedAtMillis int64         `msgpack:"b"`           // Start of this incarnation, since 1970 by the upstream's clock.
+	StartedAtMillis int64         `msgpack:"b"`           // Start of this incarnation, since 1970 by the upstream's clock; orders the incarnations of an id.
 	Sequence        uint64        `msgpack:"q"`           // Increases with each announcement of this incarnation.
 	WarmUp          time.Duration `msgpack:"c,omitempty"` // Remaining time in which the upstream is slower than normal.
 	Version         string        `msgpack:"v"`           // Of its software; empty when an instance that doesn't know versions forwarded the record.
+
+	// AnnouncedStart is what the upstream announced as its start, if that is earlier than
+	// what a former incarnation of its id announced; zero if it is StartedAtMillis.
+	AnnouncedStart int64 `msgpack:"w,omitempty"`
 }
 
 // Upstreams registers upstreams with the fleet.
