Bound what callers make a process hold by one budget

Clients that don't keep to the limits ended entries and control instances by memory, with the requests that upstreams were running for others. Cause: bodies counted only once they were complete, what heads take when parsed (some twenty times their bytes), connections and kept answers not at all, and nothing counted their sum.

All connections of a process draw on one budget (httpd.Budget), charged before memory is used and given back on every way out: connections, heads, bodies as their buffers grow, answers kept in memory. Above three quarters of it requests that haven't been read completely are evicted, by what they hold times how long. A body gets 503, anything else is closed; requests that upstreams may have are not touched. An answer for which there is no room is relayed as it arrives. Control instances, health, readiness and metrics are served by the same server, so their bodies are read before the handler runs. hosted allows callers 0.35 of memory-mb and 0.6 of max-fds.

--- a/cmd/hosted/control.go
+++ b/cmd/hosted/control.go
@@ -34,6 +34,7 @@
 		Extra:     func(r *ctrl.Role) http.Handler { return platform.NewControlAPI(r, r, r) },
 		Autopilot: true, ConfirmInterval: confirmInterval,
 		ToleratedLosses: min(boot.Tolerated, maxTolerated),
+		MaxHeldBytes:    maxHeldBytes(boot), MaxConns: maxConns(boot),
 	}
 	members := make([]cleat.InstanceID, 0, len(boot.Controls))
 	for _, address := range boot.Controls {
--- a/cmd/hosted/entry.go
+++ b/cmd/hosted/entry.go
@@ -25,9 +25,6 @@
 	idleConnShare = 0.08
 )
 
-// bodyShare is the share of an entry's memory that request bodies may use.
-const bodyShare = 0.15
-
 func runEntry(f *flags, boot *platform.Boot, logger *log.Logger) error {
 	linkCfg, err := f.linkConfig()
 	if err != nil {
@@ -44,7 +41,8 @@
 		Extra:             func(r *proxy.Role) http.Handler { return platform.NewReadyAPI(r.Ready) },
 		ReloadControls:    func() ([]string, error) { return readControls(f.settingsFile) },
 		GracePeriod:       boot.Grace,
-		MaxHeldBytes:      int64(bodyShare * float64(boot.MemoryBytes)),
+		MaxHeldBytes:      maxHeldBytes(boot),
+		MaxConns:          maxConns(boot),
 		MaxKeepAliveConns: int(idleConnShare * float64(boot.MemoryBytes) / idleConnBytes),
 	}
 	role, err := proxy.Open(cfg, rand.New(rand.NewSource(time.Now().UnixNano())), logger)
--- a/cmd/hosted/process.go
+++ b/cmd/hosted/process.go
@@ -20,6 +20,21 @@
 // processor time is scarcer than memory, which has its own limit.
 const gcPercent = 200
 
+// Shares of a process's limits that its callers may use. The rest of the memory is for what the
+// process keeps itself and for garbage, that of the descriptors for upstreams, links and files.
+const (
+	callerMemoryShare = 0.35
+	callerConnShare   = 0.6
+)
+
+// maxHeldBytes returns the memory that callers may make the process hold; zero for the default.
+func maxHeldBytes(boot *platform.Boot) int64 {
+	return int64(callerMemoryShare * float64(boot.MemoryBytes))
+}
+
+// maxConns returns how many connections callers may keep open; zero for the default.
+func maxConns(boot *platform.Boot) int { return int(callerConnShare * float64(boot.MaxFDs)) }
+
 func limitMemory(boot *platform.Boot) {
 	if boot.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(boot.MemoryBytes)))
--- a/link/httpd/conn.go
+++ b/link/httpd/conn.go
@@ -34,8 +34,14 @@
 	br        *bufio.Reader
 	bw        *bufio.Writer
 	readLimit int64       // Bytes that may still be read from the connection.
+	headBytes int64       // Of the head that is being read, charged to the budget.
 	idle      atomic.Bool // Between requests.
 	resp      Response
+
+	held         atomic.Int64 // Bytes charged to the budget.
+	phase        atomic.Int32 // A phase.
+	phaseSince   atomic.Int64 // Unix time in nanoseconds.
+	writingSince atomic.Int64 // Unix time in nanoseconds; zero while nothing is being written.
 }
 
 func newConn(s *Server) *conn {
@@ -49,7 +55,10 @@
 func (c *conn) reset(n incoming) {
 	c.net, c.received = n.Conn, n.received
 	c.br.Reset(c)
-	c.bw.Reset(n.Conn)
+	c.bw.Reset(connWriter{c})
+	c.headBytes = 0
+	c.phase.Store(int32(phaseIdle))
+	c.phaseSince.Store(time.Now().UnixNano())
 	if c.readLimit = bufferBytes; len(c.received) > 0 {
 		_, _ = c.br.Peek(1) // Puts into the buffer what was received.
 	}
@@ -72,9 +81,25 @@
 	}
 	n, err := c.net.Read(b)
 	c.readLimit -= int64(n)
+	if phase(c.phase.Load()) == phaseHead || c.idle.Load() {
+		if !c.charge(time.Now(), headFactor*int64(n)) {
+			return 0, ErrMemory
+		}
+		c.headBytes += int64(n)
+	}
 	return n, err
 }
 
+// connWriter writes to a connection and records since when.
+type connWriter struct{ conn *conn }
+
+// Write writes to the connection.
+func (w connWriter) Write(b []byte) (int, error) {
+	w.conn.writingSince.Store(time.Now().UnixNano())
+	defer w.conn.writingSince.Store(0)
+	return w.conn.net.Write(b)
+}
+
 // close closes the connection. An error is ignored: there is nothing left to do about it.
 func (c *conn) close() { _ = c.net.Close() }
 
@@ -131,13 +156,18 @@
 	if (c.server.closing.Load() && c.br.Buffered() == 0 && !hasUnread(c.net)) || c.net.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout)) != nil {
 		return false
 	}
+	c.headBytes = 0
 	_, err := c.br.Peek(1)
 	if isTimeout(err) && hasUnread(c.net) && c.net.SetReadDeadline(time.Now().Add(c.server.cfg.HeadTimeout)) == nil {
 		// The request arrived before the timeout, but the process was too busy to read it.
 		_, err = c.br.Peek(1)
 	}
 	c.idle.Store(false)
-	return err == nil
+	if errors.Is(err, ErrMemory) {
+		c.refuseForMemory(phaseIdle)
+		return false
+	}
+	return err == nil && c.enter(time.Now(), phaseIdle, phaseHead)
 }
 
 // hasUnread reports whether bytes have arrived at the socket that were not read yet.
@@ -183,6 +213,11 @@
 		return nil, err
 	}
 	c.readLimit = math.MaxInt64
+	if !c.enter(time.Now(), phaseHead, phaseServing) {
+		return nil, ErrMemory
+	}
+	// What follows the head belongs to the body, or to the next request.
+	c.refund(headFactor * min(c.headBytes, int64(c.br.Buffered())))
 	return req, nil
 }
 
@@ -252,6 +287,9 @@
 	status := http.StatusBadRequest
 	var netErr net.Error
 	switch {
+	case errors.Is(err, ErrMemory):
+		c.refuseForMemory(phaseHead)
+		return
 	case errors.Is(err, errHeadTooLong):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
@@ -266,6 +304,17 @@
 	}
 }
 
+// refuseForMemory answers a request whose head there is no memory for.
+func (c *conn) refuseForMemory(from phase) {
+	if !c.enter(time.Now(), from, phaseEvicted) {
+		return // Evicted, and closed.
+	}
+	c.refundRequest()
+	if _, err := c.bw.Write(c.server.turnedAwayAnswer()); err == nil && c.bw.Flush() == nil {
+		c.linger()
+	}
+}
+
 // serveRequest calls the handler, completes the answer and reports whether the
 // connection can be used for a further request.
 func (c *conn) serveRequest(req *http.Request) bool {
@@ -277,6 +326,7 @@
 	w.reset(req)
 	completed := c.callHandler(w, req)
 	w.stopWatch()
+	c.refundRequest()
 	if !completed {
 		w.abort()
 		return false
@@ -288,7 +338,7 @@
 		c.linger()
 		return false
 	}
-	return !w.closeAfter
+	return !w.closeAfter && c.enter(time.Now(), phaseServing, phaseIdle)
 }
 
 // callHandler reports whether the handler returned normally, without a panic.
--- a/link/httpd/response.go
+++ b/link/httpd/response.go
@@ -43,25 +43,53 @@
 func (w *Response) Header() http.Header { return w.header }
 
 // ReadBody returns the request's complete body. It fails with a timeout error after the
-// deadline and with an http.MaxBytesError if the body has more than limit bytes.
+// deadline, with an http.MaxBytesError if the body has more than limit bytes, and with
+// ErrMemory if there is no room for it.
 func (w *Response) ReadBody(limit int64, deadline time.Time) ([]byte, error) {
-	n := w.req.ContentLength
-	if n < 0 || int64(w.conn.br.Buffered()) < n {
-		if err := w.conn.net.SetReadDeadline(deadline); err != nil {
+	n, c := w.req.ContentLength, w.conn
+	if n > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	if !c.enter(time.Now(), phaseServing, phaseBody) {
+		return nil, ErrMemory
+	}
+	if n < 0 || int64(c.br.Buffered()) < n {
+		if err := c.net.SetReadDeadline(deadline); err != nil {
 			return nil, trace.Wrap(err, "Response.ReadBody")
 		}
 	}
-	if n > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
+	body, err := w.readBody(n, limit)
+	if !c.enter(time.Now(), phaseBody, phaseServing) {
+		return nil, ErrMemory
 	}
+	return body, err
+}
+
+func (w *Response) readBody(n, limit int64) ([]byte, error) {
 	if n >= 0 {
-		body := make([]byte, n)
-		_, err := io.ReadFull(w.req.Body, body)
+		body, err := w.conn.readAll(w.req.Body.Read, n, limit)
+		if errors.Is(err, io.EOF) && int64(len(body)) == n {
+			err = nil
+		} else if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
 		return body, err
 	}
-	return io.ReadAll(http.MaxBytesReader(w, w.req.Body, limit))
+	body, err := w.conn.readAll(w.req.Body.Read, n, limit)
+	switch {
+	case int64(len(body)) > limit:
+		w.closeAfter = true
+		return nil, &http.MaxBytesError{Limit: limit}
+	case errors.Is(err, io.EOF):
+		err = nil
+	}
+	return body, err
 }
 
+// Hold charges bytes of the answer that are kept in memory until the handler returns. It
+// returns false, and charges none, if there is no room for them.
+func (w *Response) Hold(n int64) bool { return w.conn.charge(time.Now(), n) }
+
 // SetWriteDeadline sets the deadline for writing the answer.
 func (w *Response) SetWriteDeadline(t time.Time) error {
 	w.hasWriteDeadline = true
@@ -115,7 +143,7 @@
 	default:
 		w.closeAfter = true
 	}
-	if h.Get("Connection") == "close" || w.conn.server.closing.Load() {
+	if h.Get("Connection") == "close" || w.conn.server.closing.Load() || w.conn.isEvicted() {
 		w.closeAfter = true
 	}
 	if w.closeAfter {
--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -35,6 +35,7 @@
 	MaxHeadBytes  int64         // Maximum size of a request's head; a few KiB more may pass, because reads are buffered.
 	MaxDrainBytes int64         // Limit on the unread body bytes that are discarded to keep the connection open.
 	MaxPending    int           // Accepted connections that no worker has started to serve; further ones stay in the listener's queue.
+	Budget        *Budget       // What callers make the process hold; shared by its servers, nil for one with defaults.
 	Busy          func() bool   // Whether the process is so short of processor time that few connections are served; nil for never.
 
 	// RetryAfter returns when a caller that is turned away may try again; nil for no statement.
@@ -110,6 +111,12 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
+	if cfg.Budget == nil {
+		var err error
+		if cfg.Budget, err = NewBudget(BudgetConfig{}); err != nil {
+			return nil, err
+		}
+	}
 	return &Server{
 		cfg: cfg, handler: handler, log: logger, accepted: make(chan incoming), quit: make(chan struct{}),
 		conns: make(map[*conn]struct{}), connClosed: make(chan struct{}, 1), pending: make(chan struct{}, cfg.MaxPending),
@@ -231,9 +238,14 @@
 	for {
 		<-s.pending
 		w.reset(c)
-		s.addConn(w)
-		w.serve()
-		s.removeConn(w)
+		if s.cfg.Budget.add(time.Now(), w) {
+			s.addConn(w)
+			w.serve()
+			s.removeConn(w)
+			s.cfg.Budget.remove(w)
+		} else {
+			w.close()
+		}
 		if s.idleWorkers.Add(1) > maxIdleWorkers {
 			s.idleWorkers.Add(-1)
 			return
--- a/link/httpd/server_test.go
+++ b/link/httpd/server_test.go
@@ -55,6 +55,13 @@
 
 func (r *testServer) handle(w *httpd.Response, req *http.Request) {
 	switch req.URL.Path {
+	case "/read":
+		b, err := w.ReadBody(1<<20, time.Now().Add(waitTimeout))
+		if errors.Is(err, httpd.ErrMemory) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write(b) // The caller may be gone.
 	case "/echo":
 		b, err := io.ReadAll(req.Body)
 		if err != nil {
--- a/role/ctrl/config.go
+++ b/role/ctrl/config.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/httpd"
 	"marigoldcleat.example/cleat/link/wire"
 	"marigoldcleat.example/cleat/policy/member"
 	"marigoldcleat.example/cleat/policy/order"
@@ -69,6 +70,8 @@
 	ChangeTimeout   time.Duration
 	HolderLostAfter time.Duration // Absence after which an entry's claims are put in doubt.
 	ClaimTick       time.Duration // Between commands that advance the claims' clock.
+	MaxHeldBytes    int64         // Memory that all callers of the APIs make the process hold; see httpd.Budget.
+	MaxConns        int           // Open connections to the APIs; above three quarters, some without a request are closed.
 }
 
 // Defaults sets the fields that are left at zero.
@@ -88,6 +91,8 @@
 	cleat.SetDefault(&c.AutopilotInterval, DefaultAutopilotInterval)
 	cleat.SetDefault(&c.ReplicaLostAfter, DefaultReplicaLostAfter)
 	cleat.SetDefault(&c.MaxQuorumAge, DefaultMaxQuorumAge)
+	cleat.SetDefault(&c.MaxHeldBytes, httpd.DefaultMaxHeldBytes)
+	cleat.SetDefault(&c.MaxConns, httpd.DefaultMaxConns)
 	if len(c.InitialInstances) == 0 && len(c.Join) == 0 && len(c.Controls) == 0 && c.ControlFile == "" {
 		c.InitialInstances = []cleat.InstanceID{c.ID}
 	}
--- a/role/ctrl/role.go
+++ b/role/ctrl/role.go
@@ -4,7 +4,6 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"math/rand"
 	"net"
@@ -18,6 +17,7 @@
 	"github.com/oklog/run"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/httpd"
 	"marigoldcleat.example/cleat/link/wire"
 	"marigoldcleat.example/cleat/policy/ledger"
 	"marigoldcleat.example/cleat/policy/member"
@@ -30,8 +30,12 @@
 
 const shutdownTimeout = 5 * time.Second
 
-// maxHeaderBytes bounds the head of a call to the API.
-const maxHeaderBytes = 64 << 10
+// apiIdleTimeout is how long operators and upstreams may keep a connection without a call.
+const apiIdleTimeout = 2 * time.Minute
+
+// maxAPIBodyBytes bounds the body of a call to the API: the largest is a manifest, whose own
+// bound is checked by what reads it.
+const maxAPIBodyBytes = 2 * cleat.MaxManifestBytes
 
 // Role is one control instance.
 type Role struct {
@@ -46,6 +50,7 @@
 	httpListener  net.Listener
 	extraListener net.Listener // Of the additional API; nil if there is none.
 	echo          *echo.Echo
+	callers       *httpd.Budget // What operators and upstreams make the process hold.
 	health        *telem.Health
 	metrics       *telem.Metrics
 	instruments   instruments
@@ -126,6 +131,11 @@
 		startedAt:    now, streams: newStreamRecords(now),
 	}
 	r.instruments = newInstruments(r.metrics.Scope())
+	var err error
+	if r.callers, err = httpd.NewBudget(httpd.BudgetConfig{MaxBytes: cfg.MaxHeldBytes, MaxConns: cfg.MaxConns}); err != nil {
+		cancel()
+		return nil, trace.Wrap(err, "Open")
+	}
 	if err := r.open(); err != nil {
 		cancel()
 		return nil, trace.Wrap(err, "Open")
@@ -209,7 +219,9 @@
 	r.addWorker(&g, r.gaugeLoop)
 	r.addWorker(&g, r.autopilotLoop)
 	r.addWorker(&g, r.streamLoop)
-	r.addServers(&g)
+	if err := r.addServers(&g); err != nil {
+		return trace.Wrap(err, "Role.Run")
+	}
 	return trace.Wrap(g.Run(), "Role.Run")
 }
 
@@ -218,7 +230,7 @@
 	g.Add(func() error { return worker(r.ctx) }, func(error) { r.cancel() })
 }
 
-func (r *Role) addServers(g *run.Group) {
+func (r *Role) addServers(g *run.Group) error {
 	g.Add(r.server.Serve, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
@@ -227,27 +239,26 @@
 		}
 		r.dialer.Close()
 	})
-	r.addHTTP(g, r.httpListener, r.echo)
-	if r.cfg.Extra != nil {
-		r.addHTTP(g, r.extraListener, r.cfg.Extra(r))
+	if err := r.addHTTP(g, r.httpListener, r.echo); err != nil || r.cfg.Extra == nil {
+		return err
 	}
+	return r.addHTTP(g, r.extraListener, r.cfg.Extra(r))
 }
 
 // addHTTP serves a handler until the role ends.
-func (r *Role) addHTTP(g *run.Group, l net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: shutdownTimeout, MaxHeaderBytes: maxHeaderBytes}
-	g.Add(func() error {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	}, func(error) {
+func (r *Role) addHTTP(g *run.Group, l net.Listener, h http.Handler) error {
+	srv, err := httpd.New(httpd.Config{Budget: r.callers, HeadTimeout: shutdownTimeout, IdleTimeout: apiIdleTimeout}, httpd.Adapt(h, maxAPIBodyBytes), r.log)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	g.Add(func() error { return srv.Serve(l) }, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		if err := srv.Shutdown(ctx); err != nil {
 			r.log.Warn("operator requests aborted at shutdown", "err", err)
 		}
 	})
+	return nil
 }
 
 // Drain makes the health checks report that the role is not ready, leaves the log if the
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -16,6 +16,9 @@
 // it is relayed, so that a truncated one can still be retried or refused.
 const maxBufferedBytes = 256 << 10
 
+// firstAnswerBytes is the size of the buffer into which an answer is read at first.
+const firstAnswerBytes = 2 << 10
+
 // bufferedAnswer is an upstream's complete answer.
 type bufferedAnswer struct {
 	status int
@@ -170,9 +173,10 @@
 }
 
 // relayBuffered buffers an answer and relays it unless it reports a failure, so that the
-// request may be retried. An answer of maxBufferedBytes or more is relayed as it arrives.
+// request may be retried. An answer of maxBufferedBytes or more, or for which there is no
+// memory, is relayed as it arrives.
 func (x *exchange) relayBuffered(u cleat.UpstreamRecord, p *pool, conn *upstreamConn, resp *http.Response) (result, *bufferedAnswer) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, complete, err := x.bufferAnswer(resp.Body)
 	if err != nil {
 		conn.close()
 		if x.ctx.Err() != nil {
@@ -182,11 +186,11 @@
 		x.recordBroken(u)
 		return res, nil
 	}
-	if len(body) == maxBufferedBytes && impliesNotRun(resp.StatusCode) {
+	if !complete && impliesNotRun(resp.StatusCode) {
 		conn.close()
 		return x.recordCorrupt(u, "a long answer with a status that callers take for a refusal"), nil
 	}
-	if len(body) == maxBufferedBytes {
+	if !complete {
 		return x.relayUnbuffered(u, p, conn, resp, body), nil
 	}
 	x.releaseConn(p, conn, resp)
@@ -202,6 +206,29 @@
 	return resultFailed, b
 }
 
+// bufferAnswer reads an answer's body into memory, of which the caller's connection is
+// charged. complete is false if it is too large, or if there is no memory for all of it.
+func (x *exchange) bufferAnswer(from io.Reader) (body []byte, complete bool, err error) {
+	for size := firstAnswerBytes; len(body) < maxBufferedBytes; size = 2 * cap(body) {
+		size = min(size, maxBufferedBytes)
+		if !x.w.Hold(int64(size - cap(body))) {
+			return body, false, nil
+		}
+		body = append(make([]byte, 0, size), body...)
+		for len(body) < cap(body) {
+			n, err := from.Read(body[len(body):cap(body)])
+			body = body[:len(body)+n]
+			if errors.Is(err, io.EOF) {
+				return body, true, nil
+			}
+			if err != nil {
+				return body, false, err
+			}
+		}
+	}
+	return body, false, nil
+}
+
 // recordAnswer ends an attempt with a complete answer; it returns false if the upstream
 // failed. An error is no first event: it comes sooner than one, and usually instead of
 // the work.
--- a/role/proxy/config.go
+++ b/role/proxy/config.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/httpd"
 	"marigoldcleat.example/cleat/link/wire"
 	"marigoldcleat.example/cleat/policy/budget"
 	"marigoldcleat.example/cleat/policy/place"
@@ -25,7 +26,8 @@
 	DefaultGracePeriod       = 8 * time.Second
 	DefaultMaxKeepAliveConns = 2000
 	DefaultMaxBodyBytes      = 4 << 20
-	DefaultMaxHeldBytes      = 16 << 20
+	DefaultMaxHeldBytes      = httpd.DefaultMaxHeldBytes
+	DefaultMaxConns          = httpd.DefaultMaxConns
 	DefaultMaxAnswerBytes    = 256 << 20
 )
 
@@ -58,7 +60,8 @@
 	ConfirmTimeout    time.Duration // Time without confirmation by a quorum before another control instance is used.
 	GracePeriod       time.Duration // From the start of a graceful shutdown to its end.
 	MaxBodyBytes      int64         // Size of a request's body.
-	MaxHeldBytes      int64         // Total size of the request bodies in memory.
+	MaxHeldBytes      int64         // Memory that all callers make the process hold; see httpd.Budget.
+	MaxConns          int           // Open connections of callers; above three quarters, some without a request are closed.
 	MaxAnswerBytes    int64         // Size of an upstream's answer, with its framing; a longer one is broken off.
 	MaxKeepAliveConns int           // Open connections of callers above which answers carry "Connection: close".
 }
@@ -80,6 +83,7 @@
 	cleat.SetDefault(&c.GracePeriod, DefaultGracePeriod)
 	cleat.SetDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
 	cleat.SetDefault(&c.MaxHeldBytes, DefaultMaxHeldBytes)
+	cleat.SetDefault(&c.MaxConns, DefaultMaxConns)
 	cleat.SetDefault(&c.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	cleat.SetDefault(&c.MaxKeepAliveConns, DefaultMaxKeepAliveConns)
 }
--- a/role/proxy/load.go
+++ b/role/proxy/load.go
@@ -40,7 +40,7 @@
 		lag, failed := r.lag.value(now), r.server.AcceptFailures()
 		if lag > lagBusy || waiting > 0 || failed > failures {
 			r.decisions.Log(now, "load", "lag", lag.Round(time.Millisecond), "connections", r.server.Conns(), "accepted", r.server.Accepted(),
-				"turned_away", r.server.TurnedAway(), "denied", r.server.Denied(), "abandoned", r.server.Abandoned(), "not_accepted", failed-failures, "requests", r.active.Load(), "waiting", waiting, "running", running, "shed", r.shed.Load(),
+				"turned_away", r.server.TurnedAway(), "denied", r.server.Denied(), "abandoned", r.server.Abandoned(), "evicted", r.callers.Evicted(), "no_memory", r.callers.Refused(), "held", r.callers.Held(), "not_accepted", failed-failures, "requests", r.active.Load(), "waiting", waiting, "running", running, "shed", r.shed.Load(),
 				"dispatch_pause", time.Duration(r.dispatchPause.Load()).Round(time.Millisecond))
 		}
 		failures = failed
--- a/role/proxy/metrics.go
+++ b/role/proxy/metrics.go
@@ -61,7 +61,7 @@
 func (m *requestMetrics) updateGauges(r *Role) {
 	m.waiting.Update(float64(r.planner.Waiting()))
 	m.running.Update(float64(r.planner.Running()))
-	m.held.Update(float64(r.heldBytes.Load()))
+	m.held.Update(float64(r.callers.Held()))
 	m.conns.Update(float64(r.server.Conns()))
 	m.lag.Update(r.lag.value(r.clock.Now()).Seconds())
 	m.shed.Update(float64(r.shed.Load()))
--- a/role/proxy/role.go
+++ b/role/proxy/role.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand"
 	"net"
@@ -61,7 +60,7 @@
 	drainOnce      sync.Once
 	draining       atomic.Bool
 	table          atomic.Pointer[cleat.RouteTable]
-	heldBytes      atomic.Int64  // Bytes of request bodies in memory.
+	callers        *httpd.Budget // What callers make the process hold, on all of its addresses.
 	active         atomic.Int64  // Requests being served.
 	lag            lagMeter      // Recent scheduling delay; see lagLoop.
 	shed           atomic.Int64  // Requests refused for lack of processor time.
@@ -151,7 +150,11 @@
 	}
 	r.requestMetrics = newRequestMetrics(r.metrics.Scope())
 	var err error
-	if r.server, err = httpd.New(httpd.Config{Busy: r.isBusy, RetryAfter: r.turnedAwayRetryAfter, Screen: r.screen}, r.serve, logger); err != nil {
+	if r.callers, err = httpd.NewBudget(httpd.BudgetConfig{MaxBytes: cfg.MaxHeldBytes, MaxConns: cfg.MaxConns}); err != nil {
+		cancel()
+		return nil, trace.Wrap(err, "Open")
+	}
+	if r.server, err = httpd.New(httpd.Config{Budget: r.callers, Busy: r.isBusy, RetryAfter: r.turnedAwayRetryAfter, Screen: r.screen}, r.serve, logger); err != nil {
 		cancel()
 		return nil, trace.Wrap(err, "Open")
 	}
@@ -233,9 +236,13 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	telem.Mount(e, r.health, r.metrics)
-	r.addHTTP(&g, r.httpListener, e)
+	if err := r.addHTTP(&g, r.httpListener, e); err != nil {
+		return trace.Wrap(err, "Role.Run")
+	}
 	if r.extraListener != nil {
-		r.addHTTP(&g, r.extraListener, r.cfg.Extra(r))
+		if err := r.addHTTP(&g, r.extraListener, r.cfg.Extra(r)); err != nil {
+			return trace.Wrap(err, "Role.Run")
+		}
 	}
 	g.Add(r.drainWorker, func(error) { r.cancel() })
 	return trace.Wrap(g.Run(), "Role.Run")
@@ -251,21 +258,18 @@
 	return nil
 }
 
-func serveHTTP(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+// addHTTP serves a handler for health, metrics or the additional API.
+func (r *Role) addHTTP(g *run.Group, l net.Listener, h http.Handler) error {
+	s, err := httpd.New(httpd.Config{Budget: r.callers}, httpd.Adapt(h, maxAPIBodyBytes), r.log)
+	if err != nil {
 		return trace.Wrap(err)
 	}
+	g.Add(func() error { return s.Serve(l) }, func(error) { r.stopServer(s.Shutdown) })
 	return nil
 }
 
-func (r *Role) addHTTP(g *run.Group, l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: apiHeaderTimeout, MaxHeaderBytes: maxHeadBytes}
-	g.Add(func() error { return serveHTTP(s, l) }, func(error) { r.stopServer(s.Shutdown) })
-}
-
-// apiHeaderTimeout bounds the reading of a request's head on the addresses for
-// health, metrics and the additional API.
-const apiHeaderTimeout = 10 * time.Second
+// maxAPIBodyBytes bounds the body of a call for health, metrics or the additional API.
+const maxAPIBodyBytes = 64 << 10
 
 // stopTimeout bounds the shutdown of each server once the role ends.
 const stopTimeout = 100 * time.Millisecond
--- a/role/proxy/serve.go
+++ b/role/proxy/serve.go
@@ -79,9 +79,7 @@
 		return
 	}
 	defer x.stopWatching()
-	size, ok := x.readBody()
-	defer r.heldBytes.Add(-size)
-	if ok {
+	if x.readBody() {
 		x.run()
 	}
 }
@@ -189,41 +187,31 @@
 	return path
 }
 
-// readBody reads the complete body, within the limits, and returns how many bytes it
-// added to Role.heldBytes. It returns false if the request was refused.
-func (x *exchange) readBody() (int64, bool) {
+// readBody reads the complete body, within the limits. It returns false if the request
+// was refused.
+func (x *exchange) readBody() bool {
 	limit := x.role.cfg.MaxBodyBytes
 	if n := x.table.Limits.MaxBodyBytes; n > 0 {
 		limit = min(limit, n)
 	}
-	if x.r.ContentLength > limit {
-		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-		return 0, false
-	}
-	size := max(0, x.r.ContentLength)
-	if x.role.heldBytes.Add(size) > x.role.cfg.MaxHeldBytes {
-		x.refuse(http.StatusServiceUnavailable, "memory", memoryRetryAfter)
-		return size, false
-	}
 	if x.r.ContentLength == 0 {
-		return size, true
+		return true
 	}
 	body, err := x.w.ReadBody(limit, x.deadline)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-		return size, false
+		return false
+	case errors.Is(err, httpd.ErrMemory):
+		x.refuse(http.StatusServiceUnavailable, "memory", memoryRetryAfter)
+		return false
 	case err != nil:
 		x.logDecision("body_cut", "err", err)
 		panic(http.ErrAbortHandler)
 	}
 	x.body = body
-	if x.r.ContentLength < 0 {
-		size += int64(len(body))
-		x.role.heldBytes.Add(int64(len(body)))
-	}
-	return size, true
+	return true
 }
 
 // logDecision logs a decision on the request.
