Don't complete a stream with a long error either

No answer but a stream is relayed now once events were. Spec "is not completed by an answer that is no stream ...: a long error" failed before, with the error's text and no error at the client.

--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -137,7 +137,7 @@
 		return x.recordCorrupt(u, "the answer has a content coding, or lacks the signature field of an upstream"), nil
 	case x.route.Kind == cleat.RouteStream && resp.StatusCode == http.StatusOK:
 		return x.relayStream(u, p, conn, resp), nil
-	case x.events.started && resp.StatusCode < http.StatusInternalServerError:
+	case x.events.started:
 		conn.close()
 		return x.recordCorrupt(u, "status "+strconv.Itoa(resp.StatusCode)+" where the rest of a stream is due"), nil
 	}
