--- a/link/httpd/response.go
+++ b/link/httpd/response.go
@@ -78,7 +78,6 @@
 	body, err := w.conn.readAll(w.req.Body.Read, n, limit)
 	switch {
 	case int64(len(body)) > limit:
-		w.closeAfter = true
 		return nil, &http.MaxBytesError{Limit: limit}
 	case errors.Is(err, io.EOF):
 		err = nil
