End the reading of a body that is longer than allowed

Cause: the buffer was full at the limit and one byte, grew no further, and reads of nothing went on. An eviction could be undone, too, if it fell between the start of the reading and its deadline.

Reading ends at the limit and one byte, and the eviction is checked again once the deadline is set. Spec "leaves room for a body of the greatest size, and refuses a longer one" failed before by its timeout; link/httpd passes with -race.

--- a/link/httpd/budget.go
+++ b/link/httpd/budget.go
@@ -260,8 +260,8 @@
 // arrives: a caller may state a length and send nothing.
 const firstBodyBytes = 16 << 10
 
-// readAll reads a body of at most limit bytes, of which the budget is charged before they are in
-// memory. length is the stated one, or negative.
+// readAll reads a body, of which the budget is charged before it is in memory. length is the
+// stated one, or negative. It returns the first limit+1 bytes of a longer body.
 func (c *conn) readAll(read func([]byte) (int, error), length, limit int64) ([]byte, error) {
 	size := int64(firstBodyBytes)
 	if length >= 0 {
@@ -273,7 +273,7 @@
 	buf := make([]byte, 0, size)
 	for {
 		if len(buf) == cap(buf) {
-			if int64(len(buf)) == length {
+			if n := int64(len(buf)); n == length || n > limit {
 				return buf, nil
 			}
 			size := 2 * int64(cap(buf))
--- a/link/httpd/memory_test.go
+++ b/link/httpd/memory_test.go
@@ -53,6 +53,17 @@
 		Expect(budget.Evicted()).To(BeZero())
 	})
 
+	It("leaves room for a body of the greatest size, and refuses a longer one", func() {
+		for name, c := range map[string]struct{ size, status int }{"greatest": {300 << 10, http.StatusOK}, "longer": {300<<10 + 1, http.StatusRequestEntityTooLarge}, "far longer": {900 << 10, http.StatusRequestEntityTooLarge}} {
+			done := make(chan int, 1)
+			go func() {
+				status, _ := post("/read-300k", strings.Repeat("x", c.size))
+				done <- status
+			}()
+			Eventually(done).WithTimeout(waitTimeout).Should(Receive(Equal(c.status)), name)
+		}
+	})
+
 	It("ends stalled bodies with 503, and serves others", func() {
 		stalled := make([]net.Conn, 20)
 		for i := range stalled {
--- a/link/httpd/response.go
+++ b/link/httpd/response.go
@@ -58,6 +58,9 @@
 			return nil, trace.Wrap(err, "Response.ReadBody")
 		}
 	}
+	if c.isEvicted() {
+		return nil, ErrMemory // The deadline that ends the reading was replaced.
+	}
 	body, err := w.readBody(n, limit)
 	if !c.enter(time.Now(), phaseBody, phaseServing) {
 		return nil, ErrMemory
--- a/link/httpd/server_test.go
+++ b/link/httpd/server_test.go
@@ -55,11 +55,20 @@
 
 func (r *testServer) handle(w *httpd.Response, req *http.Request) {
 	switch req.URL.Path {
-	case "/read":
-		b, err := w.ReadBody(1<<20, time.Now().Add(waitTimeout))
-		if errors.Is(err, httpd.ErrMemory) {
+	case "/read", "/read-300k":
+		limit := int64(1 << 20)
+		if req.URL.Path == "/read-300k" {
+			limit = 300 << 10
+		}
+		b, err := w.ReadBody(limit, time.Now().Add(waitTimeout))
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.Is(err, httpd.ErrMemory):
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
+		case errors.As(err, &tooLarge):
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
 		}
 		_, _ = w.Write(b) // The caller may be gone.
 	case "/echo":
