--- a/link/httpd/memory_test.go
+++ b/link/httpd/memory_test.go
@@ -86,6 +86,19 @@
 		Expect(refused).To(BeNumerically(">", 5))
 	})
 
+	It("closes the connection of a caller that leaves its answer unread, when it is short", func() {
+		c := dial()
+		_, err := io.WriteString(c, "GET /flood HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(budget.Held).WithTimeout(waitTimeout).Should(BeNumerically(">", 700<<10))
+		status, _ := post("/read", strings.Repeat("x", 300<<10))
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Eventually(func() int {
+			status, _ := post("/read", strings.Repeat("x", 300<<10))
+			return status
+		}).WithTimeout(3 * waitTimeout).Should(Equal(http.StatusOK))
+	})
+
 	It("closes connections without a request above the limit, and serves others", func() {
 		for range 60 {
 			dial()
--- a/link/httpd/server_test.go
+++ b/link/httpd/server_test.go
@@ -55,6 +55,13 @@
 
 func (r *testServer) handle(w *httpd.Response, req *http.Request) {
 	switch req.URL.Path {
+	case "/flood":
+		w.Hold(700 << 10)
+		for b := make([]byte, 1<<20); ; {
+			if _, err := w.Write(b); err != nil {
+				return
+			}
+		}
 	case "/read", "/read-300k":
 		limit := int64(1 << 20)
 		if req.URL.Path == "/read-300k" {
