--- a/link/httpd/budget.go
+++ b/link/httpd/budget.go
@@ -223,6 +223,16 @@
 	return h
 }
 
+// connWriter writes to a connection and records since when.
+type connWriter struct{ conn *conn }
+
+// Write writes to the connection.
+func (w connWriter) Write(b []byte) (int, error) {
+	w.conn.writingSince.Store(time.Now().UnixNano())
+	defer w.conn.writingSince.Store(0)
+	return w.conn.net.Write(b)
+}
+
 // evict ends the reading of the connection's request, or closes the connection if nothing
 // can be answered. It returns false if the connection has left the phase meanwhile.
 func (c *conn) evict(from phase) bool {
--- a/link/httpd/conn.go
+++ b/link/httpd/conn.go
@@ -90,16 +90,6 @@
 	return n, err
 }
 
-// connWriter writes to a connection and records since when.
-type connWriter struct{ conn *conn }
-
-// Write writes to the connection.
-func (w connWriter) Write(b []byte) (int, error) {
-	w.conn.writingSince.Store(time.Now().UnixNano())
-	defer w.conn.writingSince.Store(0)
-	return w.conn.net.Write(b)
-}
-
 // close closes the connection. An error is ignored: there is nothing left to do about it.
 func (c *conn) close() { _ = c.net.Close() }
 
