Give the next place at a busy entry to no caller that has sent nothing

Cause: a connection is ready to be accepted before its request has arrived. The server served such a caller if the place was free, since it couldn't be screened; five crowd connections that came first took every place.

--- a/link/httpd/screen_test.go
+++ b/link/httpd/screen_test.go
@@ -128,6 +128,39 @@
 		})
 	}
 
+	// FAIR at a busy entry: a crowd's connections that were accepted before their requests had
+	// arrived took the place of a light workspace's caller.
+	It("keeps the next place from callers that have sent nothing", func() {
+		_, address := startScreening(GinkgoT())
+		const calls, silent = 20, 5
+		counts := make(map[int]int)
+		for range calls {
+			for range silent {
+				c, err := net.Dial("tcp", address)
+				Expect(err).NotTo(HaveOccurred())
+				DeferCleanup(c.Close)
+			}
+			status, _ := ask(address, post("/serve", "whole"))
+			counts[status]++
+			time.Sleep(2 * acceptPause)
+		}
+		Expect(counts).To(Equal(map[int]int{200: calls}))
+	})
+
+	It("serves callers that have sent nothing while nobody else comes", func() {
+		s, address := startScreening(GinkgoT())
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = c.Close() }()
+		Eventually(s.Accepted).Should(BeNumerically("==", 1))
+		_, err = io.WriteString(c, post("/crowd", "whole"))
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	})
+
 	It("serves no more callers than its pace allows, whoever they are", func() {
 		s, address := startScreening(GinkgoT())
 		const callers = 200
--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -191,7 +191,8 @@
 	if closed {
 		return trace.Wrap(l.Close(), "Server.Serve")
 	}
-	backoff, queue := time.Duration(0), &queueWatch{}
+	backoff, queue := time.Duration(0), &acceptQueue{}
+	defer queue.closeSilent()
 	for {
 		if s.awaitTime(l, queue) {
 			continue
