Replace the last segment at the start, instead of adding a copy

At each start takes 3.7 MB more once the log has two segments; at kill 35 the disks of 128 MiB are full, no control instance starts, and version 1,033, which was acknowledged, can't be read.

Cause: what is read at the start may never have reached the disk, so the last segment is copied. The copy got the next number, and the old one had to stay, since the numbers must have no gap, unless it was the first of the log.

The copy now has the number of the segment and replaces it by rename; a crash leaves the one or the other, with the same records.

--- a/state/store/recover.go
+++ b/state/store/recover.go
@@ -15,8 +15,8 @@
 	start int // Offset of the first record.
 }
 
-// recoverLog reads the log and moves the records of the last segment to a new
-// one, because pages read from the page cache may not have reached the disk.
+// recoverLog reads the log and writes the last segment once more, because pages read from
+// the page cache may not have reached the disk.
 func (s *Store) recoverLog() (*Contents, error) {
 	segments, err := s.readSegments()
 	if err != nil {
@@ -42,21 +42,13 @@
 	return c, trace.Wrap(s.rewriteLastSegment(segments, last))
 }
 
+// rewriteLastSegment replaces the last segment by one of the same number, so that the log
+// doesn't grow by being opened.
 func (s *Store) rewriteLastSegment(segments []*segment, records [][]byte) error {
-	last := segments[len(segments)-1]
-	s.seq = last.Seq
 	s.firstSeq = segments[0].Seq
-	h := header{}
-	if last.Base {
-		h.Base = true
-		h.Snapshot = last.Snapshot
-	}
-	if err := s.startSegment(h, records); err != nil {
+	if err := s.writeSegment(segments[len(segments)-1].header, records); err != nil {
 		return trace.Wrap(err)
 	}
-	if h.Base {
-		s.firstSeq = s.seq
-	}
 	return trace.Wrap(s.removeObsolete())
 }
 
--- a/state/store/store.go
+++ b/state/store/store.go
@@ -55,7 +55,7 @@
 	Seq      uint64 `msgpack:"n"`           // Segment number; in a snapshot file, that of the base segment that follows.
 	Base     bool   `msgpack:"b,omitempty"` // Earlier segments are obsolete.
 	Snapshot string `msgpack:"s,omitempty"` // Name of the snapshot file that precedes the records; only with Base, empty when there is none.
-	Previous uint64 `msgpack:"p,omitempty"` // Valid bytes of the previous segment; zero when this segment replaces it.
+	Previous uint64 `msgpack:"p,omitempty"` // Valid bytes of the previous segment; zero when this segment replaces it, as in logs of earlier versions.
 	Size     uint64 `msgpack:"z,omitempty"` // Bytes of the content, in a snapshot file.
 }
 
@@ -186,6 +186,12 @@
 // startSegment starts a new segment with records as its first content.
 func (s *Store) startSegment(h header, records [][]byte) error {
 	h.Seq = s.seq + 1
+	return s.writeSegment(h, records)
+}
+
+// writeSegment writes the segment that h numbers, in place of one of that number, and
+// continues the log there.
+func (s *Store) writeSegment(h header, records [][]byte) error {
 	data, err := encodeHeader(h)
 	if err != nil {
 		return trace.Wrap(err)
--- a/state/store/store_test.go
+++ b/state/store/store_test.go
@@ -161,6 +161,28 @@
 		w.check(c)
 	})
 
+	// CONFIG: restarts filled the disk of a control instance for good.
+	for name, groups := range map[string]int{"of one segment": 1, "of several segments": 6, "with a snapshot": 12} {
+		It("takes no more room after it was opened many times, with a log "+name, func() {
+			s, _ := open()
+			w := &workload{}
+			Expect(w.run(s, groups)).To(Succeed())
+			Expect(s.Close()).To(Succeed())
+			size := int64(0)
+			for range 30 {
+				s, c := open()
+				w.check(c)
+				now, err := s.Size()
+				Expect(err).NotTo(HaveOccurred())
+				if size == 0 {
+					size = now
+				}
+				Expect(now).To(BeNumerically("<=", size))
+				disk.Crash()
+			}
+		})
+	}
+
 	It("truncates a torn tail", func() {
 		s, _ := open()
 		s.Append(record(0))
