Pass news of upstreams on to control instances without a direct link

Cause: records were sent once, over the direct link alone, on the assumption that all control instances are linked.

News is now passed on to the instances that it didn't come from, and an instance asks the others for the upstreams that it hasn't heard of for 30 s (UpstreamUpdate.Overdue, without interned fields, so that earlier versions skip it). Only later announcements and withdrawals are answered, so that an upstream that has ended is forgotten by all. Records that are passed on state how long ago an upstream was withdrawn.

TestInstanceWithoutLinkToAnother: 4 of 6 cases fail before, none now. Suites of role/ctrl, role/proxy, policy/roster and link pass with -race. No run of the real programs has such a cut.

--- a/policy/roster/coverage.go
+++ b/policy/roster/coverage.go
@@ -105,13 +105,8 @@
 
 // Complete returns all that is known, for a process that is sent all later changes.
 func (t *Table) Complete(now time.Time) *cleat.UpstreamUpdate {
-	m := &cleat.UpstreamUpdate{Records: t.ListAt(now), KnownFor: t.KnownFor(now)}
-	m.GoneFor = make([]time.Duration, len(m.Records))
-	for i, r := range m.Records {
-		if r.Phase == cleat.UpstreamGone {
-			m.GoneFor[i] = max(0, now.Sub(t.rows[r.Upstream].updatedAt))
-		}
-	}
+	m := t.Update(now, t.ListAt(now))
+	m.KnownFor = t.KnownFor(now)
 	t.tickEnded(now)
 	for _, e := range t.ended {
 		m.Ended = append(m.Ended, cleat.EndedVersion{Service: e.service, Version: e.version, Age: max(0, now.Sub(e.at))})
@@ -119,6 +114,17 @@
 	return m
 }
 
+// Update returns a message with records of the table.
+func (t *Table) Update(now time.Time, records []cleat.UpstreamRecord) *cleat.UpstreamUpdate {
+	m := &cleat.UpstreamUpdate{Records: records, GoneFor: make([]time.Duration, len(records))}
+	for i, r := range records {
+		if r.Phase == cleat.UpstreamGone {
+			m.GoneFor[i] = max(0, now.Sub(t.rows[r.Upstream].updatedAt))
+		}
+	}
+	return m
+}
+
 // ApplyTimes returns for each record of an update when it was withdrawn, or now, and
 // merges the versions that ended. Records are then added at these times.
 func (t *Table) ApplyTimes(now time.Time, m *cleat.UpstreamUpdate) []time.Time {
--- a/policy/roster/table.go
+++ b/policy/roster/table.go
@@ -125,6 +125,35 @@
 	})
 }
 
+// overdueAfter is the time without announcements and renewals after which an upstream is
+// overdue. It leaves two RenewIntervals to ask others.
+const overdueAfter = 2 * RenewInterval
+
+// Overdue returns the latest that is known of the upstreams that are neither withdrawn nor were
+// heard of for long, because they ended or because the process that they call can't tell.
+func (t *Table) Overdue(now time.Time) []cleat.UpstreamPoint {
+	var list []cleat.UpstreamPoint
+	for id, r := range t.rows {
+		if r.record.Phase != cleat.UpstreamGone && now.Sub(r.updatedAt) >= overdueAfter {
+			list = append(list, cleat.UpstreamPoint{Upstream: id, StartedAtMillis: r.record.StartedAtMillis, Sequence: r.record.Sequence})
+		}
+	}
+	return list
+}
+
+// LaterThan returns the records of the listed upstreams that are later than what is listed,
+// sorted by upstream ID.
+func (t *Table) LaterThan(now time.Time, points []cleat.UpstreamPoint) []cleat.UpstreamRecord {
+	listed := make(map[cleat.UpstreamID]cleat.UpstreamPoint, len(points))
+	for _, p := range points {
+		listed[p.Upstream] = p
+	}
+	return slices.DeleteFunc(t.ListAt(now), func(r cleat.UpstreamRecord) bool {
+		p, ok := listed[r.Upstream]
+		return !ok || !supersedes(&r, &cleat.UpstreamRecord{StartedAtMillis: p.StartedAtMillis, Sequence: p.Sequence})
+	})
+}
+
 // endBy ends the incarnation that is known, by a withdrawal of that time at an instance that
 // didn't know the upstream and so not the incarnation. One that started later is left alone.
 func (r *row) endBy(withdrawn time.Time) bool {
--- /dev/null
+++ b/role/ctrl/detour_test.go
@@ -0,0 +1,121 @@
+package ctrl
+
+import (
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/policy/roster"
+)
+
+// detourNet connects control instances, two of which have no link to each other.
+type detourNet struct {
+	now     time.Time
+	roles   map[cleat.InstanceID]*Role
+	pending []func()
+}
+
+func (n *detourNet) Now() time.Time { return n.now }
+
+// detourLink is a link from one instance to another.
+type detourLink struct {
+	net      *detourNet
+	from, to cleat.InstanceID
+}
+
+func (l *detourLink) Peer() cleat.Peer { return cleat.Peer{Instance: l.to, Role: cleat.RoleControl} }
+func (l *detourLink) Close() error     { return nil }
+
+func (l *detourLink) Send(m cleat.Message) error {
+	l.net.pending = append(l.net.pending, func() {
+		l.net.roles[l.to].handlePeerMessage(&detourLink{l.net, l.to, l.from}, m)
+	})
+	return nil
+}
+
+// newDetourNet returns the instances a, b and c, of which a and c are linked to b alone.
+func newDetourNet() *detourNet {
+	n := &detourNet{now: time.UnixMilli(1_000_000), roles: make(map[cleat.InstanceID]*Role)}
+	for id, peers := range map[cleat.InstanceID][]cleat.InstanceID{"a": {"b"}, "b": {"a", "c"}, "c": {"b"}} {
+		r := &Role{
+			cfg: Config{MaxQuorumAge: time.Hour}, clock: n, log: log.New(io.Discard), roster: roster.New(),
+			nodes: make(map[cleat.InstanceID]*nodeLink), peers: make(map[cleat.InstanceID]*peerLinks), confirmedAt: n.now, startedAt: n.now,
+		}
+		for _, p := range peers {
+			r.peers[p] = &peerLinks{links: []cleat.Link{&detourLink{n, id, p}}}
+		}
+		n.roles[id] = r
+	}
+	return n
+}
+
+// deliver delivers all messages, with those that they lead to.
+func (n *detourNet) deliver(t *testing.T) {
+	for i := 0; len(n.pending) > 0; i++ {
+		if i == 1000 {
+			t.Fatal("the instances send each other messages without end")
+		}
+		next := n.pending[0]
+		n.pending = n.pending[1:]
+		next()
+	}
+}
+
+// run lets time pass, in which before is called every second.
+func (n *detourNet) run(t *testing.T, d time.Duration, before func()) {
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(time.Second) {
+		before()
+		for _, id := range []cleat.InstanceID{"a", "b", "c"} {
+			n.roles[id].renewUpstreams(n.now)
+			n.deliver(t)
+			n.roles[id].roster.Tick(n.now)
+		}
+	}
+}
+
+// DRAIN, ORDER: an instance without a link to another one wasn't told what that one learnt, and
+// forgot after a minute the upstreams that call it.
+func TestInstanceWithoutLinkToAnother(t *testing.T) {
+	const minutes = 5 * time.Minute
+	cases := map[string]struct {
+		serves, after time.Duration // For how long the upstream announces itself, and what passes then.
+		withdraws     bool
+		want          []cleat.UpstreamPhase // At c.
+	}{
+		"an upstream that was announced":       {3 * time.Second, 0, false, []cleat.UpstreamPhase{cleat.UpstreamReady}},
+		"one that has served for minutes":      {minutes, 0, false, []cleat.UpstreamPhase{cleat.UpstreamReady}},
+		"one that withdraws":                   {3 * time.Second, time.Second, true, []cleat.UpstreamPhase{cleat.UpstreamGone}},
+		"one that withdraws after minutes":     {minutes, time.Second, true, []cleat.UpstreamPhase{cleat.UpstreamGone}},
+		"one that ended without saying so":     {minutes, 3 * time.Minute, false, nil},
+		"one that withdrew, after a retention": {minutes, roster.WithdrawnRetention + 5*time.Second, true, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := newDetourNet()
+			rec := cleat.UpstreamRecord{Upstream: "u", Service: "s", Address: "10.0.0.1:1", Slots: 1, Phase: cleat.UpstreamReady, StartedAtMillis: 1, Version: "v1"}
+			n.run(t, c.serves, func() {
+				rec.Sequence++
+				if err := n.roles["a"].AnnounceUpstream(rec); err != nil {
+					t.Fatal(err)
+				}
+			})
+			if c.withdraws {
+				if err := n.roles["a"].WithdrawUpstream("u"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			n.run(t, c.after, func() {})
+			var got []cleat.UpstreamPhase
+			for _, r := range n.roles["c"].roster.List() {
+				got = append(got, r.Phase)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("at c: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/role/ctrl/links.go
+++ b/role/ctrl/links.go
@@ -108,7 +108,7 @@
 	case *cleat.LedgerReport:
 		r.handleLedgerReport(m, false)
 	case *cleat.UpstreamUpdate:
-		r.handleUpstreamUpdate(m)
+		r.handleUpstreamUpdate(l, m)
 	case *cleat.StatusRead:
 		r.handleStatusRead(l, m)
 	case *cleat.StatusReport:
--- a/role/ctrl/upstreams.go
+++ b/role/ctrl/upstreams.go
@@ -84,14 +84,15 @@
 }
 
 // renewUpstreams tells the other control instances of the upstreams that go on announcing
-// themselves to this one. The caller holds r.mu.
+// themselves to this one, and asks for those that it hasn't heard of: the instance that they
+// call may have no link to this one. The caller holds r.mu.
 func (r *Role) renewUpstreams(now time.Time) {
 	if now.Sub(r.renewedAt) < roster.RenewInterval {
 		return
 	}
 	r.renewedAt = now
-	m := &cleat.UpstreamUpdate{Records: r.roster.Renewals(now)}
-	if len(m.Records) == 0 {
+	m := &cleat.UpstreamUpdate{Records: r.roster.Renewals(now), Overdue: r.roster.Overdue(now)}
+	if len(m.Records) == 0 && len(m.Overdue) == 0 {
 		return
 	}
 	for _, p := range r.peers {
@@ -99,14 +100,13 @@
 	}
 }
 
-// handleUpstreamUpdate merges records from another control instance and sends the new
-// ones to nodes. Control instances are linked to each other directly, so only a withdrawal
-// whose incarnation another instance may lack is sent on to them.
-func (r *Role) handleUpstreamUpdate(m *cleat.UpstreamUpdate) {
+// handleUpstreamUpdate merges records from another control instance. What is new is sent to
+// nodes, and to the control instances that may have no link to the one that learnt it.
+func (r *Role) handleUpstreamUpdate(l cleat.Link, m *cleat.UpstreamUpdate) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	accepted, identified := &cleat.UpstreamUpdate{}, &cleat.UpstreamUpdate{}
+	var accepted, identified []cleat.UpstreamRecord
 	for i, at := range r.roster.ApplyTimes(now, m) {
 		rec := m.Records[i]
 		r.recordVersionChange(now, rec)
@@ -114,26 +114,39 @@
 			continue
 		}
 		stored, _ := r.roster.ByID(rec.Upstream)
-		accepted.Records = append(accepted.Records, stored)
+		accepted = append(accepted, stored)
 		if stored.StartedAtMillis != rec.StartedAtMillis {
-			identified.Records = append(identified.Records, stored)
+			identified = append(identified, stored)
 		}
 	}
-	for _, n := range r.nodes {
-		if n.registered && len(accepted.Records) > 0 {
-			r.sendOrLog(n.link, accepted)
-		}
+	if len(accepted) > 0 {
+		r.forwardUpstreams(now, l.Peer().Instance, accepted)
 	}
-	for _, p := range r.peers {
-		if len(identified.Records) > 0 {
-			r.sendOrLog(p.links[0], identified)
-		}
+	// The sender may lack the incarnation that its withdrawal has ended.
+	if reply := append(identified, r.roster.LaterThan(now, m.Overdue)...); len(reply) > 0 {
+		r.sendOrLog(l, r.roster.Update(now, reply))
 	}
 	if r.roster.ExtendKnowledge(now, m.KnownFor) {
 		r.tellKnowledge(now)
 	}
 }
 
+// forwardUpstreams sends records to all registered nodes, and to the control instances but the
+// one that they are from. The caller holds r.mu.
+func (r *Role) forwardUpstreams(now time.Time, from cleat.InstanceID, records []cleat.UpstreamRecord) {
+	m := r.roster.Update(now, records)
+	for _, n := range r.nodes {
+		if n.registered {
+			r.sendOrLog(n.link, m)
+		}
+	}
+	for id, p := range r.peers {
+		if id != from {
+			r.sendOrLog(p.links[0], m)
+		}
+	}
+}
+
 // sendRoster sends all known upstream records over a link.
 func (r *Role) sendRoster(l cleat.Link) {
 	r.sendOrLog(l, r.completeUpstreams(r.clock.Now()))
--- a/upstream.go
+++ b/upstream.go
@@ -51,6 +51,18 @@
 	KnownFor time.Duration   `msgpack:"k,omitempty"`
 	GoneFor  []time.Duration `msgpack:"g,omitempty"` // Empty, or for each record how long ago it was withdrawn; zero for one that is not.
 	Ended    []EndedVersion  `msgpack:"e,omitempty"`
+
+	// Overdue is set between control instances: the latest that the sender knows of upstreams
+	// it has not heard of for long. The receiver answers with what is later.
+	Overdue []UpstreamPoint `msgpack:"o,omitempty"`
+}
+
+// UpstreamPoint names an announcement. It has no interned fields, since receivers of earlier
+// versions skip it.
+type UpstreamPoint struct {
+	Upstream        UpstreamID `msgpack:"u"`
+	StartedAtMillis int64      `msgpack:"b"`
+	Sequence        uint64     `msgpack:"q"`
 }
 
 // EndedVersion is a software version that an upstream had before it restarted under its
