--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -62,7 +62,7 @@
 	services       map[cleat.ServiceName][]*upstream // Sorted by upstream id.
 	engines        map[cleat.ServiceName]*cleat.ModelEngine
 	jobs           map[uint64]*Job // Sent and not ended.
-	held           []*Job // Jobs that wait until this entry has joined, in order of arrival.
+	held           []*Job          // Jobs that wait until this entry has joined, in order of arrival.
 	waiting        []*Job          // In order of arrival.
 	usage          usageTable
 	refusals       refusalHistory
