--- a/policy/place/outcome.go
+++ b/policy/place/outcome.go
@@ -69,13 +69,8 @@
 	if o == OutcomeCanceled && j.stalled && !j.hasFirstEvent {
 		o = OutcomeStalled
 	}
-	if !j.hasFirstEvent {
-		switch o {
-		case OutcomeFailed:
-			p.usage.addFailed(now, j)
-		case OutcomeLost, OutcomeStalled:
-			p.usage.addDenied(now, j, true)
-		}
+	if !j.hasFirstEvent && (o == OutcomeFailed || o == OutcomeLost || o == OutcomeStalled) {
+		p.usage.addDenied(now, j, true)
 	}
 	if !j.hasFirstEvent && o != OutcomeCanceled {
 		j.refund()
--- a/policy/place/usage.go
+++ b/policy/place/usage.go
@@ -43,8 +43,7 @@
 type workspaceUsage struct {
 	requested, admitted, started [windowBuckets]int
 	denied                       [windowBuckets]int // Refused for lack of room or for the share, shed, or failed by an engine.
-	noRoom                       [windowBuckets]int // Those that were refused for lack of room, or failed as others' did.
-	failed                       [windowBuckets]int // Those that an engine answered with an error.
+	noRoom                       [windowBuckets]int // Those that were refused for lack of room, or failed.
 	pending                      int                // Sent and without a first event.
 	peers                        peerUsage          // At other entries.
 	newest                       int64              // Number of the newest bucket.
@@ -60,7 +59,7 @@
 func (u *workspaceUsage) advance(bucket int64) {
 	for n := max(u.newest+1, bucket-windowBuckets+1); n <= bucket; n++ {
 		u.requested[n%windowBuckets], u.admitted[n%windowBuckets], u.started[n%windowBuckets], u.denied[n%windowBuckets] = 0, 0, 0, 0
-		u.noRoom[n%windowBuckets], u.failed[n%windowBuckets] = 0, 0
+		u.noRoom[n%windowBuckets] = 0
 	}
 	u.newest = max(u.newest, bucket)
 }
@@ -191,32 +190,6 @@
 	}
 }
 
-// addFailed counts a job that an engine answered with an error: as denied for lack of room, as
-// far as jobs of other workspaces fail as often. What fails in one workspace alone is due to its
-// requests, and no room would help it.
-func (u *usageTable) addFailed(now time.Time, j *Job) {
-	r := u.row(now, j.Workspace)
-	r.failed[r.newest%windowBuckets] += j.costUnits()
-	r.denied[r.newest%windowBuckets] += j.costUnits()
-	failed, tried := 0, 0
-	for w := range u.rows {
-		if o := u.row(now, w); o != r {
-			n := sum(o.failed)
-			failed, tried = failed+n, tried+n+sum(o.started)
-		}
-	}
-	shared := 1.0
-	if float64(tried) >= minComparedJobs*u.meanCost {
-		n := sum(r.failed)
-		shared = min(1, float64(failed)/float64(tried)*float64(n+sum(r.started))/float64(n))
-	}
-	r.noRoom[r.newest%windowBuckets] += int(shared * float64(j.costUnits()))
-}
-
-// minComparedJobs is how many jobs of mean cost must have been tried for other workspaces to
-// tell how often they fail.
-const minComparedJobs = 5
-
 func (u *usageTable) addStarted(now time.Time, w cleat.WorkspaceID, units int) {
 	r := u.row(now, w)
 	r.started[r.newest%windowBuckets] += units
