--- a/placement.go
+++ b/placement.go
@@ -61,7 +61,6 @@
 	Partial      bool             `msgpack:"i,omitempty"` // Sent when a link has come up, without CachedBlocks and Limits.
 	Informed     bool             `msgpack:"n,omitempty"` // Of a partial report: Cold holds all that the sender knows, also from others.
 	Clock        uint32           `msgpack:"k,omitempty"` // Milliseconds on the sender's monotonic clock.
-	Joining      bool             `msgpack:"j,omitempty"` // The sender has just started and has not heard from enough others.
 }
 
 // ColdUpstream tells another entry what the sender observed itself about an upstream that may be cold.
--- a/policy/place/joining.go
+++ b/policy/place/joining.go
@@ -10,8 +10,7 @@
 	// maxJoining bounds how long an entry that has just started waits to hear from others:
 	// they may be down.
 	maxJoining = time.Second
-	// joinedFraction is the fraction of the other entries of which it must have heard that
-	// have joined themselves: one that has just started knows no more than this one.
+	// joinedFraction is the fraction of the other entries of which it must have heard.
 	joinedFraction = 1.0 / 3
 	// joiningParts is what an entry may place while it is joining, as a multiple of an
 	// equal part of the capacity: callers are spread unevenly over the entries.
@@ -33,13 +32,13 @@
 	s.active = s.endedAt.IsZero()
 }
 
-// update ends the joining in time, given the numbers of other entries in touch and of those
-// that have joined. It returns whether that changed anything.
-func (s *joining) update(now time.Time, heard, joined int) bool {
+// update ends the joining in time, given the number of other entries in touch. It
+// returns whether that changed anything.
+func (s *joining) update(now time.Time, heard int) bool {
 	if s.startedAt.IsZero() {
 		s.startedAt = now
 	}
-	if !s.active || (heard < s.members && float64(joined) < joinedFraction*float64(s.members) && now.Sub(s.startedAt) < maxJoining) {
+	if !s.active || (float64(heard) < joinedFraction*float64(s.members) && now.Sub(s.startedAt) < maxJoining) {
 		return false
 	}
 	s.active, s.endedAt, s.heard = false, now, heard
@@ -57,7 +56,7 @@
 
 // updateJoining divides the capacity anew once this entry has heard from enough others.
 func (p *Planner) updateJoining(now time.Time) {
-	if s := &p.usage.joining; s.endedAt.IsZero() && s.update(now, p.livePeers(now), p.joinedPeers(now)) {
+	if s := &p.usage.joining; s.endedAt.IsZero() && s.update(now, p.livePeers(now)) {
 		p.usage.fairShareAt = time.Time{}
 	}
 }
@@ -75,14 +74,3 @@
 	s := &p.usage.joining
 	return Joining{Took: s.endedAt.Sub(s.startedAt), Members: s.members, Heard: s.heard, Admitted: s.admitted}, !s.endedAt.IsZero()
 }
-
-// joinedPeers returns how many other entries are in touch that are not joining themselves.
-func (p *Planner) joinedPeers(now time.Time) int {
-	n := 0
-	for _, q := range p.peers {
-		if !q.joining && now.Sub(q.receivedAt) < peerMaxAge {
-			n++
-		}
-	}
-	return n
-}
--- a/policy/place/planner.go
+++ b/policy/place/planner.go
@@ -52,7 +52,6 @@
 	outputs    []byte // See cleat.PlacementReport.
 	usage      []cleat.WorkspaceUsage
 	clock      clock
-	joining    bool // See cleat.PlacementReport.
 }
 
 // Planner places the requests of one entry.
@@ -62,7 +61,6 @@
 	services       map[cleat.ServiceName][]*upstream // Sorted by upstream id.
 	engines        map[cleat.ServiceName]*cleat.ModelEngine
 	jobs           map[uint64]*Job // Sent and not ended.
-	held           []*Job          // Jobs that wait until this entry has joined, in order of arrival.
 	waiting        []*Job          // In order of arrival.
 	usage          usageTable
 	refusals       refusalHistory
@@ -164,7 +162,7 @@
 }
 
 // Waiting returns how many jobs wait.
-func (p *Planner) Waiting() int { return len(p.waiting) + len(p.held) }
+func (p *Planner) Waiting() int { return len(p.waiting) }
 
 // Fetches returns how many jobs were sent with a source from which their upstream
 // fetches cached prefix blocks.
@@ -182,15 +180,6 @@
 		p.countPrompt(j)
 		p.refusals.restoreArrival(j)
 	}
-	if p.shouldHold(now, j) {
-		p.held = append(p.held, j)
-		return Verdict{}, false
-	}
-	return p.decideNew(now, j)
-}
-
-// decideNew decides on a job for the first time.
-func (p *Planner) decideNew(now time.Time, j *Job) (Verdict, bool) {
 	v, decided := p.decide(now, j)
 	if decided && !v.Placed() {
 		p.usage.countRefused(now, j, v.Reason)
@@ -292,10 +281,10 @@
 
 // Dispatch returns the verdicts on waiting jobs that can be decided now.
 func (p *Planner) Dispatch(now time.Time) []Verdict {
-	verdicts := p.releaseHeld(now)
 	if len(p.waiting) == 0 {
-		return verdicts
+		return nil
 	}
+	var verdicts []Verdict
 	var stillWaiting []*Job
 	ahead := make(map[cleat.ServiceName]queue)
 	failedTries := make(map[cleat.ServiceName]int)
@@ -394,5 +383,4 @@
 func (p *Planner) CancelWaiting(j *Job) {
 	j.refund()
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Job) bool { return w == j })
-	p.held = slices.DeleteFunc(p.held, func(w *Job) bool { return w == j })
 }
--- a/policy/place/report.go
+++ b/policy/place/report.go
@@ -10,7 +10,7 @@
 // entries.
 func (p *Planner) Report(now time.Time) *cleat.PlacementReport {
 	p.seq++
-	m := &cleat.PlacementReport{Seq: p.seq, CachedBlocks: p.newBlocks, Usage: p.usage.report(now), Limits: p.limits.Report(now), Cold: p.limits.ColdReport(now), Leaving: p.leaving, Clock: p.reportClock(now), Joining: p.usage.joining.active}
+	m := &cleat.PlacementReport{Seq: p.seq, CachedBlocks: p.newBlocks, Usage: p.usage.report(now), Limits: p.limits.Report(now), Cold: p.limits.ColdReport(now), Leaving: p.leaving, Clock: p.reportClock(now)}
 	p.newBlocks = nil
 	for id, u := range p.upstreams {
 		recent := u.recentPrefill.sum(now)
@@ -38,7 +38,7 @@
 // Introduction returns this entry's load and usage for an entry to which a link has come
 // up. The next report holds the rest.
 func (p *Planner) Introduction(now time.Time) *cleat.PlacementReport {
-	m := &cleat.PlacementReport{Seq: p.seq, Partial: true, Usage: p.usage.report(now), Clock: p.reportClock(now), Joining: p.usage.joining.active}
+	m := &cleat.PlacementReport{Seq: p.seq, Partial: true, Usage: p.usage.report(now), Clock: p.reportClock(now)}
 	m.Cold, m.Informed = p.limits.ColdIntroduction(now)
 	for id, u := range p.upstreams {
 		if recent := u.recentPrefill.sum(now); len(u.jobs) > 0 || recent > 0 {
@@ -76,7 +76,7 @@
 	}
 	p.usage.countDemandReport(now, q.receivedAt)
 	p.addPeerReport(q, -1)
-	*q = peer{clock: q.clock, seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs, joining: m.Joining}
+	*q = peer{clock: q.clock, seq: m.Seq, receivedAt: now, loads: m.Loads, usage: m.Usage, outputs: m.Outputs}
 	q.clock.update(now, m.Clock)
 	p.addPeerReport(q, 1)
 	if p.updateJoining(now); m.Partial {
