--- a/link/httpd/busy.go
+++ b/link/httpd/busy.go
@@ -52,19 +52,18 @@
 // awaitTime delays the next accept while Config.Busy says so: connections that are open get
 // the processor first. The callers that can't be served meanwhile are turned away at once.
 // If they waited, all that are accepted later would have given up. It reports whether it
-// served a caller, who takes the place of the next one in the queue: one of Config.Screen's
-// choice, else one from whom nothing has arrived.
-func (s *Server) awaitTime(l net.Listener, q *acceptQueue) bool {
+// served a caller of Config.Screen's choice, who takes the place of the next one in the queue.
+func (s *Server) awaitTime(l net.Listener, q *queueWatch) bool {
 	if !s.isBusy() {
 		q.recordEmpty()
-		return s.serveOldestSilent(q)
+		return false
 	}
 	served := false
 	for waited := time.Duration(0); waited < maxBusyPause && !s.closing.Load() && s.isBusy(); waited += busyPause {
 		time.Sleep(busyPause)
 		served = s.turnAwayWaiting(time.Now(), l, q, served)
 	}
-	return served || s.serveOldestSilent(q)
+	return served
 }
 
 func (s *Server) isBusy() bool { return s.cfg.Busy != nil && s.cfg.Busy() }
@@ -72,7 +71,7 @@
 // turnAwayWaiting turns away the callers in the listener's queue, as far as the budget
 // allows. Unless served is set, it serves one of those that Config.Screen lets through. It
 // returns whether one was served.
-func (s *Server) turnAwayWaiting(now time.Time, l net.Listener, q *acceptQueue, served bool) bool {
+func (s *Server) turnAwayWaiting(now time.Time, l net.Listener, q *queueWatch, served bool) bool {
 	sc, ok := l.(syscall.Conn)
 	if !ok {
 		return served
@@ -81,40 +80,27 @@
 	if err != nil {
 		return served
 	}
-	for _, c := range q.takeSilent() {
-		served = s.decide(now, c, q, served)
-	}
 	for until := now.Add(q.budget(now, busyPause)); s.isBusy() && time.Now().Before(until); {
 		fd, ok := acceptNow(raw)
 		if !ok {
 			q.recordEmpty()
 			return served
 		}
-		served = s.decide(now, acceptedConn{fd: fd, since: now}, q, served)
+		request, open := s.receiveWaiting(fd)
+		verdict := s.screenRequest(request)
+		if open && verdict == ScreenServe && !served && s.serveScreened(fd, request) {
+			served = true
+			continue
+		}
+		if !open {
+			s.abandonedN.Add(1)
+		}
+		s.turnAway(fd, request, verdict)
 	}
 	q.recordLeft(now)
 	return served
 }
 
-// decide turns away the caller of an accepted connection, serves it if Config.Screen says so
-// and served is not set, or keeps it if nothing has arrived yet. It returns whether a caller
-// was served, this one or another.
-func (s *Server) decide(now time.Time, c acceptedConn, q *acceptQueue, served bool) bool {
-	request, open := s.receiveWaiting(c.fd)
-	if open && len(request) == 0 && s.cfg.Screen != nil && q.keepSilent(now, c) {
-		return served
-	}
-	verdict := s.screenRequest(request)
-	if open && verdict == ScreenServe && !served && s.serveScreened(c.fd, request) {
-		return true
-	}
-	if !open {
-		s.abandonedN.Add(1)
-	}
-	s.turnAway(c.fd, request, verdict)
-	return served
-}
-
 // acceptNow accepts a connection without blocking; false means that there is none, or
 // that Accept has to deal with an error.
 func acceptNow(raw syscall.RawConn) (int, bool) {
--- a/link/httpd/screen.go
+++ b/link/httpd/screen.go
@@ -43,11 +43,15 @@
 }
 
 // screenRequest asks Config.Screen about what has arrived on a connection. Callers whose
-// head is incomplete are turned away.
+// head is incomplete are turned away; those from whom nothing has arrived are served if
+// the pace allows it.
 func (s *Server) screenRequest(request []byte) Screening {
 	if s.cfg.Screen == nil {
 		return ScreenTurnAway
 	}
+	if len(request) == 0 {
+		return ScreenServe
+	}
 	end := bytes.Index(request, headEnd)
 	if end < 0 {
 		return ScreenTurnAway
@@ -64,11 +68,6 @@
 	default:
 		return false
 	}
-	return s.takeOver(fd, request)
-}
-
-// takeOver is serveScreened for a connection that has a place in Server.pending.
-func (s *Server) takeOver(fd int, request []byte) bool {
 	c, err := connOf(fd)
 	if err != nil {
 		<-s.pending
--- a/link/httpd/server.go
+++ b/link/httpd/server.go
@@ -191,8 +191,7 @@
 	if closed {
 		return trace.Wrap(l.Close(), "Server.Serve")
 	}
-	backoff, queue := time.Duration(0), &acceptQueue{}
-	defer queue.closeSilent()
+	backoff, queue := time.Duration(0), &queueWatch{}
 	for {
 		if s.awaitTime(l, queue) {
 			continue
