--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0 // The rule held.
+	exitBroken = 1 // The rule was broken.
+	exitNotRun = 2 // The case could not run.
+)
+
+// cases are the plays by name. Each returns whether the rule was broken.
+var cases = map[string]func(w *world) (broken bool, err error){
+	"first-start": playFirstStart,
+	"withdrawn":   playWithdrawn,
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run plays a case: standin-2 CASE FOLDER, in the root of the repository. The case writes its
+// record into the folder. TROUBLE=0 leaves out the disruption.
+func run(args []string) int {
+	if len(args) != 2 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE FOLDER")
+		return exitNotRun
+	}
+	w, err := newWorld(args[1], os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin-2:", err)
+		return exitNotRun
+	}
+	defer w.close()
+	broken, err := cases[args[0]](w)
+	switch {
+	case err != nil:
+		w.note("the case could not run: %v", err)
+		return exitNotRun
+	case broken:
+		w.note("RESULT: the rule was broken")
+		return exitBroken
+	}
+	w.note("RESULT: the rule held")
+	return exitHeld
+}
