--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,10 +15,17 @@
 // cases are the plays by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
 	"first-start": playFirstStart,
+	"crash":       playCrash,
 	"withdrawn":   playWithdrawn,
+	"set-back":    playSetBack,
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	if len(os.Args) > 1 && os.Args[1] == streamServerCommand {
+		os.Exit(runStreamServer(os.Args[2:]))
+	}
+	os.Exit(run(os.Args[1:]))
+}
 
 // run plays a case: standin-2 CASE FOLDER, in the root of the repository. The case writes its
 // record into the folder. TROUBLE=0 leaves out the disruption.
--- a/review/standin-2/outside.go
+++ b/review/standin-2/outside.go
@@ -44,15 +44,31 @@
 	return false, last
 }
 
-// configuration returns a configuration with one safe route to the service "desk".
+// configuration returns a configuration with a safe route to the service "desk" and a route
+// of streams, which can't be resumed, to the service "model".
 func configuration(version int) []byte {
 	b, err := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-look", "host": "shop.example", "path-prefix": "/look/", "kind": "safe", "timeout-ms": 2000, "target-latency-ms": 300, "priority": 2,
-			"service": "desk", "max-attempts": 2, "public": false, "sticky": false, "resumable": false,
-		}},
-		"services": []map[string]any{{"name": "desk", "health-path": "/health", "max-conns": 100, "protocol": "h1", "tls": false}},
+		"routes": []map[string]any{
+			{
+				"name": "r-look", "host": "shop.example", "path-prefix": "/look/", "kind": "safe", "timeout-ms": 2000, "target-latency-ms": 300, "priority": 2,
+				"service": "desk", "max-attempts": 2, "public": false, "sticky": false, "resumable": false,
+			},
+			{
+				"name": "r-ask", "host": "shop.example", "path-prefix": "/ask/", "kind": "stream", "timeout-ms": 12000, "target-latency-ms": 800, "priority": 1,
+				"service": "model", "max-attempts": 1, "public": false, "sticky": true, "resumable": false, "target-gap-ms": 400,
+			},
+		},
+		"services": []map[string]any{
+			{"name": "desk", "health-path": "/health", "max-conns": 100, "protocol": "h1", "tls": false},
+			{
+				"name": "model", "health-path": "/health", "max-conns": 360, "protocol": "h1", "tls": false,
+				"engine": map[string]any{
+					"slots": 64, "kv-capacity-tokens": 541413, "kv-token-bytes": 18432, "link-mbps": 370000.0, "moves": true, "backups": true, "stride": 6, "most": 12,
+					"pin-ms": 4000.0, "hold-ms": 2000.0, "handle-s": 5.0, "models": []map[string]string{{"name": "m"}},
+				},
+			},
+		},
 		"limits": map[string]any{
 			"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000, "tokens-per-s": 180000,
 		},
@@ -95,30 +111,31 @@
 
 	mu       sync.Mutex
 	sequence int
+	state    string
 	silent   bool // It sends no heartbeats of its own any more.
 	ran      []time.Time
 }
 
-// startServer starts a server at its own address, and its heartbeats.
-func (w *world) startServer(id string, last int) (*server, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", w.prefix, last))
+// startServer starts a server at its own address, and its heartbeats. Its clock is behind.
+func (w *world) startServer(id, address string, behind time.Duration) (*server, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &server{world: w, id: id, listener: l, born: time.Now().UnixMilli()}
+	s := &server{world: w, id: id, listener: l, born: time.Now().Add(-behind).UnixMilli(), state: "ready"}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }() // Ends with the case.
 	go s.beatLoop()
 	return s, nil
 }
 
-// heartbeat returns the next heartbeat, which says that the server is ready.
+// heartbeat returns the next heartbeat.
 func (s *server) heartbeat() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
 	b, err := json.Marshal(map[string]any{
-		"service": "desk", "address": s.listener.Addr().String(), "zone": "a", "version": "v1", "slots": 6, "state": "ready",
+		"service": "desk", "address": s.listener.Addr().String(), "zone": "a", "version": "v1", "slots": 6, "state": s.state,
 		"cold-remaining-ms": 0, "sequence": s.sequence, "born": s.born,
 	})
 	if err != nil {
@@ -142,6 +159,21 @@
 	}
 }
 
+// drain makes the server announce that it drains. It reports whether a control instance
+// acknowledged that.
+func (s *server) drain() (acknowledged bool, last string) {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	return callAny(s.world.seeds(), http.MethodPut, s.path(), s.heartbeat())
+}
+
+// crash ends the server with its heartbeats and connections.
+func (s *server) crash() {
+	s.stopBeats()
+	_ = s.http.Close()
+}
+
 // stopBeats ends the heartbeats.
 func (s *server) stopBeats() {
 	s.mu.Lock()
@@ -214,17 +246,26 @@
 	return t
 }
 
+// newRequest returns a client's request to an entry.
+func newRequest(entry *process, method, path, id string, deadline time.Duration) (*http.Request, error) {
+	req, err := http.NewRequest(method, "http://"+entry.address(frontPort)+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "shop.example"
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set("Authorization", "Bearer key-of-the-club")
+	return req, nil
+}
+
 // request sends one request to an entry and returns how it ended.
 func (w *world) request(entry *process, id string) string {
 	client := http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(http.MethodGet, "http://"+entry.address(frontPort)+"/look/1", nil)
+	req, err := newRequest(entry, http.MethodGet, "/look/1", id, 4*time.Second)
 	if err != nil {
 		return err.Error()
 	}
-	req.Host = "shop.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", "4000")
-	req.Header.Set("Authorization", "Bearer key-of-the-club")
 	resp, err := client.Do(req)
 	if err != nil {
 		return "no answer"
--- a/review/standin-2/play.go
+++ b/review/standin-2/play.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -66,7 +67,7 @@
 	}
 	var servers []*server
 	for i, id := range []string{"i-one", "i-two", "i-three"} {
-		s, err := w.startServer(id, 200+i)
+		s, err := w.startServer(id, fmt.Sprintf("%s%d:0", w.prefix, 200+i), 0)
 		if err != nil {
 			return false, err
 		}
