--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // Exit codes of a case.
@@ -12,6 +13,9 @@
 	exitNotRun = 2 // The case could not run.
 )
 
+// longestPlay bounds the time of a case.
+const longestPlay = 110 * time.Second
+
 // cases are the plays by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
 	"first-start": playFirstStart,
@@ -40,6 +44,11 @@
 		return exitNotRun
 	}
 	defer w.close()
+	time.AfterFunc(longestPlay, func() {
+		w.note("the case took too long")
+		w.close()
+		os.Exit(exitNotRun)
+	})
 	broken, err := cases[args[0]](w)
 	switch {
 	case err != nil:
--- a/review/standin-2/stream.go
+++ b/review/standin-2/stream.go
@@ -86,7 +86,13 @@
 func (w *world) startStreamServer(id string, last int) (*exec.Cmd, error) {
 	cmd := exec.Command(os.Args[0], append([]string{streamServerCommand, id, fmt.Sprintf("%s%d:%d", w.prefix, last, w.base+portCount)}, w.seeds()...)...)
 	cmd.Stderr = os.Stderr
-	return cmd, cmd.Start()
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers = append(w.servers, cmd)
+	return cmd, nil
 }
 
 // streams counts how streams ended.
@@ -176,7 +182,6 @@
 		if err != nil {
 			return false, err
 		}
-		defer func() { _, _ = s.Process.Signal(syscall.SIGKILL), s.Wait() }()
 		servers["stamp-"+id] = s
 	}
 	time.Sleep(2 * contactTime)
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -44,8 +44,9 @@
 	controls []*process
 	entries  []*process
 
-	mu     sync.Mutex
-	record *os.File
+	mu      sync.Mutex
+	record  *os.File
+	servers []*exec.Cmd // Processes of servers.
 }
 
 func newWorld(caseFolder string, trouble bool) (*world, error) {
@@ -99,6 +100,13 @@
 
 // close ends all processes and removes what they wrote.
 func (w *world) close() {
+	w.mu.Lock()
+	for _, cmd := range w.servers {
+		_ = cmd.Process.Signal(syscall.SIGKILL)
+		_ = cmd.Wait() // It was killed.
+	}
+	w.servers = nil
+	w.mu.Unlock()
 	w.end(append(w.controls, w.entries...)...)
 	_ = os.RemoveAll(w.folder)
 	_ = w.record.Close()
