Review case 8: the crash of a server halves its answers that have no length

Tried: review/8/run.sh, four servers that answer 800 bytes in two halves without a length; one is killed. The former cases 8 and 9 become 9 and 10.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/hosted ] && [ -x target/standin-2 ] || { echo "build first" >&2; exit 2; }
-exec timeout --signal=KILL 118 target/standin-2 set-back "$folder"
+exec timeout --signal=KILL 118 target/standin-2 withdrawn "$folder"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,13 +20,14 @@
 var cases = map[string]func(w *world) (broken bool, err error){
 	"first-start": playFirstStart,
 	"crash":       playCrash,
+	"half":        playHalf,
 	"withdrawn":   playWithdrawn,
 	"set-back":    playSetBack,
 }
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == streamServerCommand {
-		os.Exit(runStreamServer(os.Args[2:]))
+	if len(os.Args) > 1 && os.Args[1] == unframedServerCommand {
+		os.Exit(runUnframedServer(os.Args[2:]))
 	}
 	os.Exit(run(os.Args[1:]))
 }
--- a/review/standin-2/outside.go
+++ b/review/standin-2/outside.go
@@ -44,8 +44,8 @@
 	return false, last
 }
 
-// configuration returns a configuration with a safe route to the service "desk" and a route
-// of streams, which can't be resumed, to the service "model".
+// configuration returns a configuration with a safe and an unsafe route to the service "desk",
+// and a route of streams, which can't be resumed, to the service "model".
 func configuration(version int) []byte {
 	b, err := json.Marshal(map[string]any{
 		"version": version,
@@ -54,6 +54,10 @@
 				"name": "r-look", "host": "shop.example", "path-prefix": "/look/", "kind": "safe", "timeout-ms": 2000, "target-latency-ms": 300, "priority": 2,
 				"service": "desk", "max-attempts": 2, "public": false, "sticky": false, "resumable": false,
 			},
+			{
+				"name": "r-pay", "host": "shop.example", "path-prefix": "/pay/", "kind": "unsafe", "timeout-ms": 2000, "target-latency-ms": 300, "priority": 2,
+				"service": "desk", "max-attempts": 1, "public": false, "sticky": false, "resumable": false,
+			},
 			{
 				"name": "r-ask", "host": "shop.example", "path-prefix": "/ask/", "kind": "stream", "timeout-ms": 12000, "target-latency-ms": 800, "priority": 1,
 				"service": "model", "max-attempts": 1, "public": false, "sticky": true, "resumable": false, "target-gap-ms": 400,
--- a/review/standin-2/stream.go
+++ b/review/standin-2/stream.go
@@ -17,38 +17,45 @@
 )
 
 const (
-	streamServerCommand = "stream-server"
-	streamEvents        = 40 // Events of each stream.
-	eventTime           = 50 * time.Millisecond
+	unframedServerCommand = "unframed-server"
+	streamEvents          = 40 // Events of each stream.
+	eventTime             = 50 * time.Millisecond
 )
 
-// runStreamServer is the process of a sound server of the service "model": stream-server ID
-// ADDRESS CONTROL... Its answers have no length and end with their connections.
-func runStreamServer(args []string) int {
-	if len(args) < 3 {
+// runUnframedServer is the process of a sound server: unframed-server SERVICE ID ADDRESS
+// CONTROL... Its answers have no length and end with their connections.
+func runUnframedServer(args []string) int {
+	if len(args) < 4 {
 		return exitNotRun
 	}
-	id, address, controls := args[0], args[1], args[2:]
+	service, id, address, controls := args[0], args[1], args[2], args[3:]
+	serve := serveStream
+	if service == "desk" {
+		serve = servePlain
+	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "stream-server:", err)
+		fmt.Fprintln(os.Stderr, "unframed-server:", err)
 		return exitNotRun
 	}
-	go announce(id, l.Addr().String(), controls)
+	go announce(service, id, l.Addr().String(), controls)
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return exitNotRun
 		}
-		go serveStream(id, c)
+		go serve(id, c)
 	}
 }
 
-func announce(id, address string, controls []string) {
-	born := time.Now().UnixMilli()
+func announce(service, id, address string, controls []string) {
+	born, slots := time.Now().UnixMilli(), 6
+	if service == "model" {
+		slots = 64
+	}
 	for sequence := 1; ; sequence++ {
 		b, err := json.Marshal(map[string]any{
-			"service": "model", "address": address, "zone": "a", "version": "v1", "slots": 64, "state": "ready", "cold-remaining-ms": 0,
+			"service": service, "address": address, "zone": "a", "version": "v1", "slots": slots, "state": "ready", "cold-remaining-ms": 0,
 			"stage": "colocated", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "sequence": sequence, "born": born,
 		})
 		if err != nil {
@@ -59,20 +66,32 @@
 	}
 }
 
-// serveStream answers the request on a connection with a stream, and closes the connection at
-// its end. Each event is one write.
-func serveStream(id string, c net.Conn) {
-	defer c.Close()
+// readRequest reads the request on a connection and returns the head of its answer. It returns
+// false if the request isn't to be run.
+func readRequest(id string, c net.Conn) (attempt, head string, ok bool) {
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
-		return
+		return "", "", false
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return "", "", false
 	}
-	attempt := req.Header.Get("Attempt-Id")
+	attempt = req.Header.Get("Attempt-Id")
 	if named := req.Header.Get("Expect-Instance"); named != "" && named != id {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", attempt)
+		return "", "", false
+	}
+	return attempt, fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: stamp-%s\r\nConnection: close\r\n", attempt, id), true
+}
+
+// serveStream answers with a stream. Each event is one write.
+func serveStream(id string, c net.Conn) {
+	defer c.Close()
+	attempt, head, ok := readRequest(id, c)
+	if !ok {
 		return
 	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: stamp-%s\r\nServer-Load: 4,0,64\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", attempt, id)
+	head += "Server-Load: 4,0,64\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\n\r\n"
 	for n := 1; n <= streamEvents; n++ {
 		time.Sleep(eventTime)
 		if _, err := io.WriteString(c, fmt.Sprintf("%sid: %d\ndata: piece %d of %s\n\n", head, n, n, attempt)); err != nil {
@@ -82,9 +101,9 @@
 	}
 }
 
-// startStreamServer starts the process of a server.
-func (w *world) startStreamServer(id string, last int) (*exec.Cmd, error) {
-	cmd := exec.Command(os.Args[0], append([]string{streamServerCommand, id, fmt.Sprintf("%s%d:%d", w.prefix, last, w.base+portCount)}, w.seeds()...)...)
+// startUnframedServer starts the process of a server.
+func (w *world) startUnframedServer(service, id string, last int) (*exec.Cmd, error) {
+	cmd := exec.Command(os.Args[0], append([]string{unframedServerCommand, service, id, fmt.Sprintf("%s%d:%d", w.prefix, last, w.base+portCount)}, w.seeds()...)...)
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
 		return nil, err
@@ -178,7 +197,7 @@
 	servers := make(map[string]*exec.Cmd) // By their signatures.
 	for i := range 6 {
 		id := fmt.Sprintf("i-model-%d", i)
-		s, err := w.startStreamServer(id, 200+i)
+		s, err := w.startUnframedServer("model", id, 200+i)
 		if err != nil {
 			return false, err
 		}
