Don't take an answer that a reset cuts during the upload for a whole one

What callers saw: a server answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written. The part arrives as the whole answer (MIXED).

Cause: the kernel reports a connection's failure once, to the first call. The write of the request took it, and upstreamConn.write dropped it on the grounds that reading fails too; the read found an orderly end. net/http's Transport at agents writes and reads in two goroutines as well.

Change: connections to upstreams are upconn.Conn, at entries that forward and at agents. A read that finds the end returns the error that a write has met. It ends a write under way first: that may have met the error without having returned, or wait for an upstream that reads no further. EPIPE is none: the kernel reports it for a reset after an orderly close, and the answer is whole.

--- a/role/agent/engine.go
+++ b/role/agent/engine.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/upconn"
 )
 
 const (
@@ -56,7 +57,7 @@
 
 func newTransport(singleUse bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:            dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      singleUse,
 		MaxIdleConnsPerHost:    maxIdleConns,
@@ -67,6 +68,14 @@
 	}
 }
 
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return upconn.New(c), nil
+}
+
 // Close closes idle connections.
 func (e *HTTPEngine) Close() {
 	e.keepAlive.CloseIdleConnections()
--- a/role/agent/engine_test.go
+++ b/role/agent/engine_test.go
@@ -1,10 +1,14 @@
 package agent_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -183,6 +187,56 @@
 		})
 	}
 
+	// rawUpstream answers each connection's request with text once its head has arrived, and
+	// then lets end close the connection.
+	rawUpstream := func(text string, end func(*net.TCPConn)) *agent.HTTPEngine {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer func() { _ = c.Close() }()
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, text) // The agent may have closed the connection.
+					end(c.(*net.TCPConn))
+				}()
+			}
+		}()
+		return client(cleat.Announcement{Address: l.Addr().String()})
+	}
+
+	// A part of an answer was delivered as the whole one.
+	ends := map[string]struct {
+		end   func(c *net.TCPConn)
+		whole bool
+	}{
+		"a reset":                     {func(c *net.TCPConn) { time.Sleep(5 * time.Millisecond); _ = c.SetLinger(0) }, false},
+		"the end of its sending side": {func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(time.Second) }, true},
+		"that end, and a reset later": {func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(5 * time.Millisecond); _ = c.SetLinger(0) }, true},
+	}
+	for name, c := range ends {
+		for _, repeatable := range []bool{true, false} {
+			It(fmt.Sprintf("takes an answer without a length that comes before the body is read for whole: %v, after %s, repeatable %v", c.whole, name, repeatable), func() {
+				e := rawUpstream("HTTP/1.1 200 OK\r\n\r\nbody", c.end)
+				call := plainCall()
+				call.Body, call.Repeatable = make([]byte, 4<<20), repeatable
+				for range 10 {
+					var sink collector
+					Expect(e.Run(ctx, call, &sink).Kind == cleat.OutcomeDone).To(Equal(c.whole))
+					Expect("body").To(HavePrefix(string(sink.text)))
+					Expect(len(sink.text) == 4 || !c.whole).To(BeTrue())
+				}
+			})
+		}
+	}
+
 	It("forwards the failure status of an action", func() {
 		p := plain()
 		p.SetFault(fakes.Fault{Kind: fakes.FaultStatus})
--- a/role/proxy/conn.go
+++ b/role/proxy/conn.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/upconn"
 )
 
 // inlineBodyBytes is the size of a body up to which a request is written completely
@@ -29,7 +30,7 @@
 
 // upstreamConn is one connection to an upstream.
 type upstreamConn struct {
-	net      net.Conn
+	net      *upconn.Conn
 	in       *boundedReader // Below br; see readHead.
 	br       *bufio.Reader
 	cfg      *Config
@@ -40,8 +41,9 @@
 }
 
 func newUpstreamConn(c net.Conn, cfg *Config, now time.Time) *upstreamConn {
-	in := &boundedReader{r: c}
-	return &upstreamConn{net: c, in: in, br: bufio.NewReaderSize(in, 4<<10), cfg: cfg, dialedAt: now}
+	conn := upconn.New(c)
+	in := &boundedReader{r: conn}
+	return &upstreamConn{net: conn, in: in, br: bufio.NewReaderSize(in, 4<<10), cfg: cfg, dialedAt: now}
 }
 
 // boundedReader reads at most a number of bytes, whatever they are: http.ReadResponse
@@ -254,7 +256,7 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.net.(syscall.Conn)
+	sc, ok := c.net.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -322,9 +324,8 @@
 		return nil
 	}
 	go func() {
-		buf := net.Buffers{head, body}
-		// If the connection breaks, reading the answer fails too, and that error is reported.
-		_, _ = buf.WriteTo(c.net)
+		// Reading the answer fails if this does before the answer has ended.
+		_, _ = c.net.WriteBuffers(net.Buffers{head, body})
 	}()
 	return nil
 }
