Refuse answers whose status is none, or whose protocol isn't HTTP/1

What callers saw: a server in trouble sends an answer with status 000. Entries that forward skipped it as informational and read the next head from its body: a 200 hidden there reached the caller (MIXED). Agents delivered it, as status 0.

Cause: http.ReadResponse takes any three digits, signs too, and any version; readHead took each status below 200 for informational, and net/http's Transport each one outside 100 to 199, and 101, for final.

Change: upconn.Conn checks heads as their bytes are read, below both parsers, so that informational heads and late answers are checked by the same lines. The error is sticky, as bufio drops it when it has a part of the line. Entries count such an answer like other spoilt ones. What the parser refuses itself is left to it, and counted as before. Agents dial TLS themselves, since heads are checked above it.

--- a/link/upconn/conn.go
+++ b/link/upconn/conn.go
@@ -10,17 +10,21 @@
 	"time"
 )
 
-// Conn is a connection whose failures are reported to reads, also when a concurrent write
-// meets them first: the kernel reports a reset or a timeout only once, and a read after that
-// finds the end of the connection as if the upstream had closed it in order.
+// Conn is a connection that checks the heads of answers as they are read, and whose failures
+// are reported to reads, also when a concurrent write meets them first: the kernel reports a
+// reset or a timeout only once, and a read after that finds the end of the connection as if
+// the upstream had closed it in order.
 type Conn struct {
 	net.Conn
 
 	mu       sync.Mutex // Held during a write.
 	writeErr error      // Of the first write that failed.
+
+	headMu sync.Mutex // Held while bytes that were read are checked.
+	head   headScanner
 }
 
-// New returns a connection that reads and writes c.
+// New returns a connection that reads and writes c, and that begins with the head of an answer.
 func New(c net.Conn) *Conn { return &Conn{Conn: c} }
 
 // Write writes b to the connection.
@@ -48,10 +52,29 @@
 	}
 }
 
+// BeginAnswer makes the connection check the head of the next answer. It checks the bytes
+// of it that have been read already, buffered.
+func (c *Conn) BeginAnswer(buffered []byte) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = headScanner{}
+	return c.head.scan(buffered)
+}
+
+func (c *Conn) checkHead(b []byte) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.head.scan(b)
+}
+
 // Read reads from the connection. It returns io.EOF only if the upstream has closed the
-// connection, or its sending side, in order. A write that is under way then is ended.
+// connection, or its sending side, in order. A write that is under way then is ended. The
+// error of a head that is no answer's is ErrMalformedHead.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if headErr := c.checkHead(b[:n]); headErr != nil {
+		return 0, headErr
+	}
 	if errors.Is(err, io.EOF) {
 		if failure := c.failure(); failure != nil {
 			err = failure
--- /dev/null
+++ b/link/upconn/head.go
@@ -0,0 +1,78 @@
+package upconn
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// ErrMalformedHead is the error of a read that finds an answer's head malformed. It is
+// returned for heads that net/http's parser accepts.
+var ErrMalformedHead = errors.New("malformed head of an answer")
+
+// headScanner checks the head of an answer, with the informational ones before it, as its
+// bytes are read.
+type headScanner struct {
+	line          []byte // The part of a line whose end has not been read.
+	inFields      bool   // The status line has been read.
+	informational bool
+	done          bool  // The final head has been read.
+	err           error // Of the line that is malformed.
+}
+
+// scan checks the next bytes of the connection; those after the final head are ignored. Once
+// it has failed, it fails: a bufio.Reader drops the error of a line that it has a part of.
+func (s *headScanner) scan(b []byte) error {
+	for !s.done && s.err == nil {
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 {
+			s.line = append(s.line, b...)
+			return nil
+		}
+		line := b[:end]
+		if len(s.line) > 0 {
+			line = append(s.line, line...)
+			s.line = s.line[:0]
+		}
+		s.err = s.checkLine(bytes.TrimSuffix(line, []byte("\r")))
+		b = b[end+1:]
+	}
+	return s.err
+}
+
+func (s *headScanner) checkLine(line []byte) error {
+	switch {
+	case !s.inFields:
+		s.inFields = true
+		return s.checkStatusLine(line)
+	case len(line) == 0:
+		s.done, s.inFields = !s.informational, false
+	}
+	return nil
+}
+
+// checkStatusLine checks the protocol's version and the status. A line that the parser
+// doesn't accept is left to it.
+func (s *headScanner) checkStatusLine(line []byte) error {
+	proto, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.Atoi(string(code))
+	if _, _, ok := http.ParseHTTPVersion(string(proto)); !ok || err != nil || len(code) != 3 {
+		s.done = true
+		return nil
+	}
+	if !bytes.HasPrefix(proto, []byte("HTTP/1.")) {
+		return fmt.Errorf("%w: version %q", ErrMalformedHead, proto)
+	}
+	// No request asks for an upgrade, which 101 would answer.
+	if status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus {
+		return fmt.Errorf("%w: status %q", ErrMalformedHead, code)
+	}
+	s.informational = status < http.StatusOK
+	return nil
+}
+
+// maxStatus is the highest status that has a meaning.
+const maxStatus = 599
--- a/role/agent/engine.go
+++ b/role/agent/engine.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -56,8 +57,10 @@
 }
 
 func newTransport(singleUse bool) *http.Transport {
+	d := &net.Dialer{Timeout: connectTimeout}
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            dialUpstream(d.DialContext),
+		DialTLSContext:         dialUpstream((&tls.Dialer{NetDialer: d}).DialContext),
 		DisableCompression:     true,
 		DisableKeepAlives:      singleUse,
 		MaxIdleConnsPerHost:    maxIdleConns,
@@ -68,12 +71,17 @@
 	}
 }
 
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// dialUpstream returns a dialFunc that makes connections by dial, and checks what they carry.
+func dialUpstream(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return upconn.New(c), nil
 	}
-	return upconn.New(c), nil
 }
 
 // Close closes idle connections.
--- a/role/agent/engine_test.go
+++ b/role/agent/engine_test.go
@@ -237,6 +237,34 @@
 		}
 	}
 
+	// An answer of status 0 was delivered.
+	heads := map[string]struct {
+		text string
+		ok   bool
+	}{
+		"status 200":                   {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", true},
+		"status 200 after 100 and 103": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", true},
+		"status 000":                   {"HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nbody", false},
+		"status 000 without a body":    {"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", false},
+		"status 099":                   {"HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nbody", false},
+		"status 101":                   {"HTTP/1.1 101 Switching Protocols\r\n\r\nbody", false},
+		"status 600":                   {"HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nbody", false},
+		"another version":              {"HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+	}
+	for name, c := range heads {
+		It(fmt.Sprintf("delivers an answer whose head is sound: %v, %s", c.ok, name), func() {
+			e := rawUpstream(c.text, func(*net.TCPConn) {})
+			for _, repeatable := range []bool{true, false} {
+				call := plainCall()
+				call.Repeatable = repeatable
+				var sink collector
+				Expect(e.Run(ctx, call, &sink).Kind == cleat.OutcomeDone).To(Equal(c.ok))
+				Expect(string(sink.text) == "body").To(Equal(c.ok))
+				Expect(sink.status != 0).To(Equal(c.ok))
+			}
+		})
+	}
+
 	It("forwards the failure status of an action", func() {
 		p := plain()
 		p.SetFault(fakes.Fault{Kind: fakes.FaultStatus})
--- a/role/agent/exchange.go
+++ b/role/agent/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/upconn"
 )
 
 const (
@@ -102,7 +103,10 @@
 
 func (x *exchange) newRequest(lastEvent string) (*http.Request, error) {
 	ctx := httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*upconn.Conn); ok {
+				_ = c.BeginAnswer(nil) // Nothing has been read, so nothing is malformed.
+			}
 			x.gotConn.Store(true)
 			x.stall.start()
 		},
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"marigoldcleat.example/cleat"
+	"marigoldcleat.example/cleat/link/upconn"
 	"marigoldcleat.example/cleat/policy/place"
 )
 
@@ -113,6 +114,9 @@
 	if x.endStalled(u) {
 		return resultFailed
 	}
+	if errors.Is(err, upconn.ErrMalformedHead) {
+		return x.recordCorrupt(u, err.Error())
+	}
 	x.role.recordEnd(x.job, place.OutcomeLost)
 	x.logDecision("connection_lost", "upstream", u.Upstream, "address", u.Address, "err", err, "blocks", x.blockNames(), "digest", x.digestName())
 	x.recordBroken(u)
