Refuse answers in whose head a field's name isn't one

What callers saw: a server in trouble sends an answer in whose head a field's name holds a blank. It arrives as an answer.

Cause: net/textproto accepts blanks in names and then doesn't recognise them. Both paths parse by it, informational heads too. A line that begins with a blank continues the value before it: a field that is meant changes another one.

Change: the scanner of heads takes only tokens for names. Its error is read from the connection, as the parser may have made another one of a part of the line.

--- a/link/upconn/conn.go
+++ b/link/upconn/conn.go
@@ -61,6 +61,14 @@
 	return c.head.scan(buffered)
 }
 
+// HeadErr returns the error with which reads of the present head fail, or nil. A parser that
+// has a part of the line may report another one.
+func (c *Conn) HeadErr() error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.head.err
+}
+
 func (c *Conn) checkHead(b []byte) error {
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
--- a/link/upconn/head.go
+++ b/link/upconn/head.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // ErrMalformedHead is the error of a read that finds an answer's head malformed. It is
@@ -22,8 +23,8 @@
 	err           error // Of the line that is malformed.
 }
 
-// scan checks the next bytes of the connection; those after the final head are ignored. Once
-// it has failed, it fails: a bufio.Reader drops the error of a line that it has a part of.
+// scan checks the next bytes of the connection; those after the final head are ignored. A
+// failure is final: a bufio.Reader drops the error of a line that it has a part of.
 func (s *headScanner) scan(b []byte) error {
 	for !s.done && s.err == nil {
 		end := bytes.IndexByte(b, '\n')
@@ -49,10 +50,28 @@
 		return s.checkStatusLine(line)
 	case len(line) == 0:
 		s.done, s.inFields = !s.informational, false
+		return nil
+	}
+	return checkField(line)
+}
+
+// checkField checks the name of a field. A line that continues the value before it has none.
+func checkField(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok || len(name) == 0 || bytes.ContainsFunc(name, isNoTokenRune) {
+		return fmt.Errorf("%w: field name %q", ErrMalformedHead, name[:min(len(name), maxLoggedBytes)])
 	}
 	return nil
 }
 
+// maxLoggedBytes bounds what an error quotes of a line.
+const maxLoggedBytes = 40
+
+// isNoTokenRune reports whether a token, as a field's name, may not hold r.
+func isNoTokenRune(r rune) bool {
+	return (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
+
 // checkStatusLine checks the protocol's version and the status. A line that the parser
 // doesn't accept is left to it.
 func (s *headScanner) checkStatusLine(line []byte) error {
--- a/link/upconn/head_test.go
+++ b/link/upconn/head_test.go
@@ -60,6 +60,24 @@
 		"four digits":                         {"HTTP/1.1 2000 OK\r\n" + rest, false},
 		"another protocol":                    {"HTTP/2.0 200 OK\r\n" + rest, false},
 		"no protocol":                         {"HTTP/0.9 200 OK\r\n" + rest, false},
+		"each byte that a name may hold":      {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: b\r\n" + rest, true},
+		"bytes above 127 in a value":          {"HTTP/1.1 200 OK\r\nX: \x80\xff\r\n" + rest, true},
+		"colons, blanks and tabs in a value":  {"HTTP/1.1 200 OK\r\nX:\t a : b\t\r\nY:\r\n" + rest, true},
+		"a blank before the colon":            {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\n", false},
+		"a blank before it in the framing":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + rest, false},
+		"a blank in a name":                   {"HTTP/1.1 200 OK\r\nX Y: a\r\n" + rest, false},
+		"a blank in a name after 103":         {"HTTP/1.1 103 Early Hints\r\nX Y: a\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, false},
+		"a line that begins with a blank":     {"HTTP/1.1 200 OK\r\nX: a\r\n Content-Length: 4\r\n\r\n", false},
+		"a line that begins with a tab":       {"HTTP/1.1 200 OK\r\nX: a\r\n\tb\r\n" + rest, false},
+		"a first line that does":              {"HTTP/1.1 200 OK\r\n X: a\r\n" + rest, false},
+		"a tab in a name":                     {"HTTP/1.1 200 OK\r\nX\tY: a\r\n" + rest, false},
+		"a control byte in a name":            {"HTTP/1.1 200 OK\r\nX\x01Y: a\r\n" + rest, false},
+		"NUL in a name":                       {"HTTP/1.1 200 OK\r\nX\x00Y: a\r\n" + rest, false},
+		"DEL in a name":                       {"HTTP/1.1 200 OK\r\nX\x7fY: a\r\n" + rest, false},
+		"CR in a name":                        {"HTTP/1.1 200 OK\r\nX\rY: a\r\n" + rest, false},
+		"a byte above 127 in a name":          {"HTTP/1.1 200 OK\r\nX\x80: a\r\n" + rest, false},
+		"an empty name":                       {"HTTP/1.1 200 OK\r\n: a\r\n" + rest, false},
+		"no colon":                            {"HTTP/1.1 200 OK\r\nX\r\n" + rest, false},
 		"status 000 after 103":                {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + rest, false},
 	}
 	for name, c := range cases {
@@ -87,8 +105,8 @@
 					t.Fatalf("%d bytes a read: %v", size, err)
 				}
 				if err != nil {
-					if parses(c.text) && !errors.Is(err, ErrMalformedHead) {
-						t.Errorf("%d bytes a read: %v, want ErrMalformedHead", size, err)
+					if parses(c.text) && !errors.Is(conn.HeadErr(), ErrMalformedHead) {
+						t.Errorf("%d bytes a read: %v, head %v, want ErrMalformedHead", size, err, conn.HeadErr())
 					}
 					continue
 				}
--- a/role/agent/engine_test.go
+++ b/role/agent/engine_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -251,6 +252,15 @@
 		"status 600":                   {"HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nbody", false},
 		"another version":              {"HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", false},
 	}
+	for name, field := range map[string]string{
+		"a blank before a colon": "X : a", "a blank in a name": "X Y: a", "a name that begins with a blank": " X: a", "a control byte in a name": "X\x01Y: a", "no name": ": a",
+	} {
+		c := heads["status 200"]
+		c.text, c.ok = strings.Replace(c.text, "\r\n", "\r\n"+field+"\r\n", 1), false
+		heads[name] = c
+		c.text = "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + heads["status 200"].text
+		heads[name+" after 103"] = c
+	}
 	for name, c := range heads {
 		It(fmt.Sprintf("delivers an answer whose head is sound: %v, %s", c.ok, name), func() {
 			e := rawUpstream(c.text, func(*net.TCPConn) {})
--- a/role/proxy/conn.go
+++ b/role/proxy/conn.go
@@ -334,16 +334,16 @@
 // ones. It bounds what is read for them and then for the body.
 func (c *upstreamConn) readHead(method string) (*http.Response, error) {
 	c.in.left = maxHeadBytes
-	buffered, err := c.br.Peek(c.br.Buffered())
-	if err != nil {
-		return nil, err
-	}
+	buffered, _ := c.br.Peek(c.br.Buffered()) // Reads nothing, so it doesn't fail.
 	if err := c.net.BeginAnswer(buffered); err != nil {
 		return nil, err
 	}
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
+			if headErr := c.net.HeadErr(); headErr != nil {
+				err = headErr
+			}
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
