Refuse chunks in an answer of HTTP/1.0

Found while looking for other framings that the parsers accept; no user has reported it.

Cause: net/http drops Transfer-Encoding from messages of HTTP/1.0, and reads the body up to the end of the connection, on both paths.

Change: the scanner of heads takes such an answer for malformed. RFC 9112 calls its framing faulty. HTTP/1.0 with a length, or up to an orderly end, stays.

--- a/link/upconn/head.go
+++ b/link/upconn/head.go
@@ -19,6 +19,7 @@
 	line          []byte // The part of a line whose end has not been read.
 	inFields      bool   // The status line has been read.
 	informational bool
+	version10     bool  // The head is of HTTP/1.0.
 	done          bool  // The final head has been read.
 	err           error // Of the line that is malformed.
 }
@@ -52,15 +53,18 @@
 		s.done, s.inFields = !s.informational, false
 		return nil
 	}
-	return checkField(line)
+	return s.checkField(line)
 }
 
 // checkField checks the name of a field. A line that continues the value before it has none.
-func checkField(line []byte) error {
+func (s *headScanner) checkField(line []byte) error {
 	name, _, ok := bytes.Cut(line, []byte(":"))
 	if !ok || len(name) == 0 || bytes.ContainsFunc(name, isNoTokenRune) {
 		return fmt.Errorf("%w: field name %q", ErrMalformedHead, name[:min(len(name), maxLoggedBytes)])
 	}
+	if s.version10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return fmt.Errorf("%w: %s in an answer of HTTP/1.0, which has no such framing", ErrMalformedHead, name)
+	}
 	return nil
 }
 
@@ -89,7 +93,7 @@
 	if status < http.StatusContinue || status == http.StatusSwitchingProtocols || status > maxStatus {
 		return fmt.Errorf("%w: status %q", ErrMalformedHead, code)
 	}
-	s.informational = status < http.StatusOK
+	s.informational, s.version10 = status < http.StatusOK, bytes.Equal(proto, []byte("HTTP/1.0"))
 	return nil
 }
 
--- a/link/upconn/head_test.go
+++ b/link/upconn/head_test.go
@@ -63,6 +63,8 @@
 		"each byte that a name may hold":      {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: b\r\n" + rest, true},
 		"bytes above 127 in a value":          {"HTTP/1.1 200 OK\r\nX: \x80\xff\r\n" + rest, true},
 		"colons, blanks and tabs in a value":  {"HTTP/1.1 200 OK\r\nX:\t a : b\t\r\nY:\r\n" + rest, true},
+		"chunks in HTTP/1.0":                  {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + rest, false},
+		"chunks in HTTP/1.0, lower case":      {"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", false},
 		"a blank before the colon":            {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\n", false},
 		"a blank before it in the framing":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + rest, false},
 		"a blank in a name":                   {"HTTP/1.1 200 OK\r\nX Y: a\r\n" + rest, false},
--- a/role/agent/engine_test.go
+++ b/role/agent/engine_test.go
@@ -250,6 +250,7 @@
 		"status 099":                   {"HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nbody", false},
 		"status 101":                   {"HTTP/1.1 101 Switching Protocols\r\n\r\nbody", false},
 		"status 600":                   {"HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nbody", false},
+		"chunks in HTTP/1.0":           {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
 		"another version":              {"HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", false},
 	}
 	for name, field := range map[string]string{
