--- a/link/upconn/head.go
+++ b/link/upconn/head.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 )
 
 // ErrMalformedHead is the error of a read that finds an answer's head malformed. It is
@@ -56,25 +55,8 @@
 	return s.checkField(line)
 }
 
-// checkField checks the name of a field. A line that continues the value before it has none.
-func (s *headScanner) checkField(line []byte) error {
-	name, _, ok := bytes.Cut(line, []byte(":"))
-	if !ok || len(name) == 0 || bytes.ContainsFunc(name, isNoTokenRune) {
-		return fmt.Errorf("%w: field name %q", ErrMalformedHead, name[:min(len(name), maxLoggedBytes)])
-	}
-	if s.version10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
-		return fmt.Errorf("%w: %s in an answer of HTTP/1.0, which has no such framing", ErrMalformedHead, name)
-	}
-	return nil
-}
-
-// maxLoggedBytes bounds what an error quotes of a line.
-const maxLoggedBytes = 40
-
-// isNoTokenRune reports whether a token, as a field's name, may not hold r.
-func isNoTokenRune(r rune) bool {
-	return (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
-}
+// maxStatus is the highest status that has a meaning.
+const maxStatus = 599
 
 // checkStatusLine checks the protocol's version and the status. A line that the parser
 // doesn't accept is left to it.
@@ -97,5 +79,36 @@
 	return nil
 }
 
-// maxStatus is the highest status that has a meaning.
-const maxStatus = 599
+// maxLoggedBytes bounds what an error quotes of a line.
+const maxLoggedBytes = 40
+
+// checkField checks the name of a field. A line that continues the value before it has none.
+func (s *headScanner) checkField(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isToken(name) {
+		return fmt.Errorf("%w: field name %q", ErrMalformedHead, name[:min(len(name), maxLoggedBytes)])
+	}
+	if s.version10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return fmt.Errorf("%w: %s in an answer of HTTP/1.0, which has no such framing", ErrMalformedHead, name)
+	}
+	return nil
+}
+
+// isToken reports whether b is a token, as a field's name must be.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !tokenBytes[c] {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// tokenBytes are the bytes that a token may hold.
+var tokenBytes = func() (t [1 << 8]bool) {
+	const symbols, digits, letters = "!#$%&'*+-.^_`|~", "0123456789", "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	for _, c := range []byte(symbols + digits + letters) {
+		t[c] = true
+	}
+	return t
+}()
