--- a/link/upconn/conn.go
+++ b/link/upconn/conn.go
@@ -76,8 +76,8 @@
 }
 
 // Read reads from the connection. It returns io.EOF only if the upstream has closed the
-// connection, or its sending side, in order. A write that is under way then is ended. The
-// error of a head that is no answer's is ErrMalformedHead.
+// connection, or its sending side, in order; a write that is under way then is ended. It
+// returns ErrMalformedHead for the head of an answer that can't be read safely.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if headErr := c.checkHead(b[:n]); headErr != nil {
--- a/link/upconn/head.go
+++ b/link/upconn/head.go
@@ -8,8 +8,8 @@
 	"strconv"
 )
 
-// ErrMalformedHead is the error of a read that finds an answer's head malformed. It is
-// returned for heads that net/http's parser accepts.
+// ErrMalformedHead is the error of a read that finds an answer's head malformed, also where
+// net/http's parser accepts it.
 var ErrMalformedHead = errors.New("malformed head of an answer")
 
 // headScanner checks the head of an answer, with the informational ones before it, as its
--- a/link/upconn/head_test.go
+++ b/link/upconn/head_test.go
@@ -85,7 +85,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			for _, size := range []int{1, 5, 1 << 10} {
-				// The first answer's body holds what would be a malformed head, and half of the next answer is read with it.
+				// The first answer's body would be malformed as a head. Long reads return a part of the second answer with it.
 				first := "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\nHTTP/1.1 000\r\n\r\n\r"
 				conn := New(&readConn{text: first + c.text + "body", size: size})
 				br := bufio.NewReader(conn)
--- a/role/proxy/attempt.go
+++ b/role/proxy/attempt.go
@@ -100,7 +100,7 @@
 }
 
 // handleConnLost ends an attempt whose connection failed before the answer was
-// complete: the request may have run.
+// complete, or whose answer has a malformed head: the request may have run.
 func (x *exchange) handleConnLost(u cleat.UpstreamRecord, err error) result {
 	x.mayHaveRun = true
 	if ctxErr := x.ctx.Err(); ctxErr != nil {
