--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
-#!/bin/sh
-# Builds the stand-ins that the scripts of the third review start, into target/.
-# No case of this review has a script so far.
-set -eu
+#!/usr/bin/env bash
+# Builds the stand-in that the scripts of the third review start.
+set -euo pipefail
 cd "$(dirname "$0")/.."
+go build -o target/standin-3 ./review/standin-3
