--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,7 +21,8 @@
 
 // cases are the plays by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"reborn": playReborn,
+	"reborn":  playReborn,
+	"foreign": playForeign,
 }
 
 func main() {
