--- a/review/standin-3/foreign.go
+++ b/review/standin-3/foreign.go
@@ -8,10 +8,27 @@
 // drains is how long the server goes on serving after it announced that it drains.
 const drains = 9 * time.Second
 
-// playForeign lets another writer send one heartbeat that names a known server and lacks the
-// field born. Later the server drains. It must get no request later than drain-ms after a
-// control instance has acknowledged that.
+// foreignCount is how far the count of the other writer is ahead of the server's own.
+const foreignCount = 1000
+
+// playForeign lets another writer send a heartbeat that lacks the field born.
 func playForeign(w *world) (bool, error) {
+	return w.playOtherWriter(func(fields map[string]any) { delete(fields, "born") })
+}
+
+// playNumbered lets another writer, with a count of its own, send a heartbeat that lacks the
+// field zone.
+func playNumbered(w *world) (bool, error) {
+	return w.playOtherWriter(func(fields map[string]any) {
+		delete(fields, "zone")
+		fields["sequence"] = fields["sequence"].(int) + foreignCount
+	})
+}
+
+// playOtherWriter lets another writer send one heartbeat that names a known server, changed by
+// spoil. Later the server drains. It must get no request later than drain-ms after a control
+// instance has acknowledged that.
+func (w *world) playOtherWriter(spoil func(fields map[string]any)) (bool, error) {
 	leaving, err := w.startAll()
 	if err != nil {
 		return false, err
@@ -23,7 +40,7 @@
 	}
 	if w.trouble {
 		fields := leaving.fields()
-		delete(fields, "born")
+		spoil(fields)
 		body := encode(fields)
 		status, answer := call(w.seeds()[0], http.MethodPut, leaving.path(), body)
 		w.note("another writer sends %s: %d %s", body, status, answer)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,8 +21,9 @@
 
 // cases are the plays by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"reborn":  playReborn,
-	"foreign": playForeign,
+	"reborn":   playReborn,
+	"foreign":  playForeign,
+	"numbered": playNumbered,
 }
 
 func main() {
